--- /dev/null
+++ b/internal/core/claim.go
@@ -0,0 +1,301 @@
+package core
+
+import (
+	"time"
+
+	"wigeonmoor.example/internal/config"
+	"wigeonmoor.example/internal/flow"
+	"wigeonmoor.example/internal/ring"
+	"wigeonmoor.example/internal/wire"
+)
+
+// claim is the pending request for the knowledge of all others. There is one at a
+// time; a change of the view replaces it, as it changes whom to ask.
+type claim struct {
+	id      uint64
+	slots   []flow.Slot
+	waiting map[flow.MemberKey]bool
+	sentAt  time.Time
+	// covered holds the best coverage that anybody told, by slot.
+	covered map[flow.Slot]wire.Coverage
+	version config.Version
+}
+
+// startClaim asks for all slots that this balancer is to own and does not hold.
+func (c *Core) startClaim(slots []flow.Slot) {
+	previous := c.claim
+	c.claim = nil
+	if len(slots) == 0 || c.Compiled() == nil {
+		return
+	}
+	next := &claim{
+		id:      c.nextID(),
+		slots:   slots,
+		waiting: make(map[flow.MemberKey]bool),
+		covered: make(map[flow.Slot]wire.Coverage, len(slots)),
+		version: c.Compiled().Version,
+	}
+	for _, known := range c.members.Peers() {
+		if known.Reachable() {
+			next.waiting[known.Key] = true
+		}
+	}
+	for _, number := range slots {
+		s := &c.slots[number]
+		s.mutex.Lock()
+		s.claiming = true
+		next.covered[number] = s.coverage()
+		if previous != nil {
+			// A grant that the replaced claim has received is not given twice.
+			next.covered[number] = max(next.covered[number], previous.covered[number])
+		}
+		s.mutex.Unlock()
+	}
+	c.claim = next
+	c.log.Info("owner: claiming slots", "Slots", len(slots), "Peers", len(next.waiting))
+	c.sendClaim(time.Now())
+}
+
+func (c *Core) sendClaim(now time.Time) {
+	c.claim.sentAt = now
+	message := &wire.Claim{Claim: c.claim.id, ConfigVersion: uint64(c.claim.version)}
+	for _, number := range c.claim.slots {
+		message.Slots = append(message.Slots, uint32(number))
+	}
+	for _, to := range sortedKeys(c.claim.waiting) {
+		c.post(to, &wire.Envelope{Body: &wire.Envelope_Claim{Claim: message}})
+	}
+}
+
+// driveClaim repeats a claim and ends it when all reachable balancers answered.
+func (c *Core) driveClaim(now time.Time) {
+	if c.claim == nil {
+		return
+	}
+	for to := range c.claim.waiting {
+		if known := c.members.Peer(to); known == nil || !known.Reachable() {
+			delete(c.claim.waiting, to)
+		}
+	}
+	if len(c.claim.waiting) == 0 {
+		if c.members.Found() {
+			c.endClaim(now)
+		}
+		return
+	}
+	if now.Sub(c.claim.sentAt) >= claimRetry {
+		c.sendClaim(now)
+	}
+}
+
+// answerClaim tells what this balancer knows of the slots, and grants those that
+// it holds: from then on it hands their new flows over.
+func (c *Core) answerClaim(from flow.MemberKey, message *wire.Claim) {
+	reference := c.compiledAt(config.Version(message.ConfigVersion))
+	reply := &wire.ClaimReply{Claim: message.Claim}
+	if reference != nil {
+		reply.ConfigVersion = uint64(reference.Version)
+	}
+	holders := c.view.Load().owners
+	for _, number := range message.Slots {
+		if number >= flow.SlotCount {
+			c.Counters.DroppedMalform.Add(1)
+			continue
+		}
+		s := &c.slots[number]
+		s.mutex.Lock()
+		reply.Slots = append(reply.Slots, c.encode(s, flow.Slot(number), reference))
+		c.grant(s, holders[number])
+		s.mutex.Unlock()
+	}
+	c.post(from, &wire.Envelope{Body: &wire.Envelope_ClaimReply{ClaimReply: reply}})
+}
+
+// grant gives a held slot up. The slot is locked.
+func (c *Core) grant(s *slot, holders ring.Holders) {
+	if !s.held {
+		return
+	}
+	c.release(s)
+	// In this balancer's view it may still be the owner; the next owner's view
+	// then makes it a replica, or a change of view takes the mark away.
+	s.synced = holders.Includes(c.key) || holders.Owner == c.key
+	s.former = false
+}
+
+// takeReply merges what another balancer knows.
+func (c *Core) takeReply(from flow.MemberKey, reply *wire.ClaimReply) {
+	reference := c.compiledAt(config.Version(reply.ConfigVersion))
+	current := c.claim != nil && c.claim.id == reply.Claim
+	for _, state := range reply.Slots {
+		if state.Slot >= flow.SlotCount {
+			c.Counters.DroppedMalform.Add(1)
+			continue
+		}
+		s := &c.slots[state.Slot]
+		s.mutex.Lock()
+		if c.claim != nil && s.claiming {
+			number := flow.Slot(state.Slot)
+			better := state.Coverage > c.claim.covered[number]
+			c.mergeState(s, state, reference, better)
+			c.claim.covered[number] = max(c.claim.covered[number], state.Coverage)
+		} else if s.held && state.Coverage == wire.Coverage_COVERAGE_HELD {
+			c.mergeState(s, state, reference, false)
+		}
+		s.mutex.Unlock()
+	}
+	if current {
+		delete(c.claim.waiting, from)
+		c.driveClaim(time.Now())
+	}
+}
+
+// mergeState adds the records of another balancer to a slot. If it knows better
+// than all before, its bases and records go first. The slot is locked.
+func (c *Core) mergeState(s *slot, state *wire.SlotState, reference *config.Compiled, better bool) {
+	number := flow.Slot(state.Slot)
+	compiled := c.Compiled()
+	if better {
+		c.takeBases(s, state, reference)
+	}
+	second := c.second(time.Now())
+	for index := range state.Flows {
+		id, record, sound := recordAt(state, index)
+		if !sound {
+			c.Counters.DroppedMalform.Add(1)
+			return
+		}
+		service := compiled.ByKey(record.Service)
+		if service == nil {
+			continue
+		}
+		held, known := s.flows[id]
+		if known && held.Kind != flow.Cached && !better {
+			continue
+		}
+		if s.held {
+			// A decision of the owner before that this owner has not heard of.
+			record.Kind = flow.Exception
+			if record.Backend == s.base(service, number) {
+				record.Kind = flow.Default
+			}
+		} else {
+			record.Kind = flow.Replica
+		}
+		record.Seen = second
+		c.put(s, id, record)
+	}
+}
+
+// takeBases sets the defaults of unrecorded flows as the sender has them. It left
+// out those that agree with the reference configuration. The slot is locked.
+func (c *Core) takeBases(s *slot, state *wire.SlotState, reference *config.Compiled) {
+	number := flow.Slot(state.Slot)
+	for _, service := range c.Compiled().Services {
+		base := service.Defaults[number]
+		if reference != nil {
+			if theirs := reference.ByKey(service.Key); theirs != nil {
+				base = theirs.Defaults[number]
+			}
+		}
+		for _, cell := range state.Cells {
+			if flow.ServiceKey(cell.Service) == service.Key {
+				base = flow.BackendKey(cell.Backend)
+			}
+		}
+		s.setBase(service, number, base)
+	}
+}
+
+// endClaim begins to decide for the claimed slots.
+func (c *Core) endClaim(now time.Time) {
+	ended := c.claim
+	c.claim = nil
+	doubtful := 0
+	for _, number := range ended.slots {
+		s := &c.slots[number]
+		s.mutex.Lock()
+		coverage := ended.covered[number]
+		c.hold(s, number, now, coverage)
+		if coverage == wire.Coverage_COVERAGE_NONE {
+			doubtful++
+		}
+		c.requeue(s)
+		s.mutex.Unlock()
+	}
+	c.Counters.Takeovers.Add(int64(len(ended.slots)))
+	c.log.Info("owner: holding slots", "Slots", len(ended.slots), "Doubtful", doubtful)
+}
+
+// hold makes this balancer the slot's owner. The slot is locked.
+func (c *Core) hold(s *slot, number flow.Slot, now time.Time, coverage wire.Coverage) {
+	s.claiming = false
+	s.held = true
+	s.synced = false
+	s.former = false
+	s.knownSince = now
+	s.refuseAt = now.Add(refuseTime)
+	s.settledAt = now.Add(settleTime)
+	if coverage == wire.Coverage_COVERAGE_HELD {
+		// The owner before told of all flows that were opening.
+		s.settledAt = now
+		s.refuseAt = now
+	}
+	if coverage == wire.Coverage_COVERAGE_NONE {
+		s.doubtUntil = now.Add(DoubtLimit)
+	}
+	c.ownRecords(s, number)
+}
+
+// ownRecords turns replicas into owned records. The slot is locked.
+func (c *Core) ownRecords(s *slot, number flow.Slot) {
+	compiled := c.Compiled()
+	for id, record := range s.flows {
+		service := compiled.ByKey(record.Service)
+		if service == nil || record.Kind != flow.Replica {
+			continue
+		}
+		record.Kind = flow.Exception
+		if record.Backend == s.base(service, number) {
+			record.Kind = flow.Default
+		}
+		// Replicas learn of no later packets, so a flow counts as open from here.
+		if record.State == flow.Opening {
+			record.State = flow.Open
+		}
+		record.Seen = c.second(time.Now())
+		c.put(s, id, record)
+	}
+}
+
+// pushGrants hands slots over whose owner in the view has not claimed them, as
+// when its claim ran before this balancer's and the two views differed.
+func (c *Core) pushGrants(now time.Time) {
+	if now.Sub(c.lastMisplaced) < grantPushAfter {
+		return
+	}
+	c.lastMisplaced = now
+	v := c.view.Load()
+	replies := make(map[flow.MemberKey]*wire.ClaimReply)
+	for index := range c.slots {
+		owner := v.owners[index].Owner
+		if owner == c.key || owner == 0 {
+			continue
+		}
+		s := &c.slots[index]
+		s.mutex.Lock()
+		if s.held {
+			reply := replies[owner]
+			if reply == nil {
+				reply = &wire.ClaimReply{}
+				replies[owner] = reply
+			}
+			reply.Slots = append(reply.Slots, c.encode(s, flow.Slot(index), nil))
+			c.grant(s, v.owners[index])
+		}
+		s.mutex.Unlock()
+	}
+	for _, owner := range sortedKeys(replies) {
+		c.post(owner, &wire.Envelope{Body: &wire.Envelope_ClaimReply{ClaimReply: replies[owner]}})
+	}
+}
--- /dev/null
+++ b/internal/core/control.go
@@ -0,0 +1,563 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wigeonmoor.example/internal/config"
+	"wigeonmoor.example/internal/flow"
+	"wigeonmoor.example/internal/member"
+	"wigeonmoor.example/internal/place"
+	"wigeonmoor.example/internal/ring"
+	"wigeonmoor.example/internal/wire"
+)
+
+// TickPeriod is how often Tick is to be called.
+const TickPeriod = 50 * time.Millisecond
+
+// adaptPeriod is how often the placement threshold follows the budget.
+const adaptPeriod = time.Second
+
+// Tick advances everything that depends on time.
+func (c *Core) Tick() Output {
+	now := time.Now()
+	c.members.Tick()
+	c.applyEvents()
+	c.refreshLease()
+	c.refill(now)
+	c.adaptThreshold(now)
+	c.offer()
+	c.askForConfig(now)
+	c.driveClaim(now)
+	c.driveSyncs(now)
+	c.driveRebases(now)
+	c.pushGrants(now)
+	c.sweep(now)
+	c.flushRemovals(now)
+	return c.finish()
+}
+
+// Probe takes a probe of another balancer.
+func (c *Core) Probe(probe *wire.Probe) Output {
+	if !c.members.Handle(probe) {
+		c.Counters.DroppedStranger.Add(1)
+		return c.finish()
+	}
+	for _, load := range probe.Loads {
+		c.heardLoad(load)
+	}
+	c.applyEvents()
+	c.refreshLease()
+	return c.finish()
+}
+
+// SetInstances takes the platform's list of balancers.
+func (c *Core) SetInstances(list config.Instances) Output {
+	c.members.SetInstances(list)
+	c.publishView()
+	return c.finish()
+}
+
+// SetReport takes a load report that this balancer has fetched itself.
+func (c *Core) SetReport(backend flow.BackendKey, report place.Report) {
+	if gauge := c.placer.Gauge(backend); gauge != nil {
+		gauge.SetReport(report)
+	}
+}
+
+func (c *Core) heardLoad(load *wire.Load) {
+	c.SetReport(flow.BackendKey(load.Backend), place.Report{
+		Open:     load.Open,
+		Healthy:  load.Healthy,
+		Shedding: load.Shedding,
+		At:       time.Now().Add(-time.Duration(load.AgeMilliseconds) * time.Millisecond),
+	})
+}
+
+// Envelope takes a message from another balancer's link.
+func (c *Core) Envelope(from flow.MemberKey, envelope *wire.Envelope) Output {
+	if c.members.Peer(from) == nil {
+		c.Counters.DroppedStranger.Add(1)
+		return c.finish()
+	}
+	switch body := envelope.Body.(type) {
+	case *wire.Envelope_Claim:
+		c.answerClaim(from, body.Claim)
+	case *wire.Envelope_ClaimReply:
+		c.takeReply(from, body.ClaimReply)
+	case *wire.Envelope_Sync:
+		c.takeSync(from, body.Sync)
+	case *wire.Envelope_SyncAck:
+		c.takeSyncAck(from, body.SyncAck)
+	case *wire.Envelope_Rebase:
+		c.takeRebase(from, body.Rebase)
+	case *wire.Envelope_RebaseAck:
+		c.takeRebaseAck(from, body.RebaseAck)
+	case *wire.Envelope_Removal:
+		c.takeRemoval(body.Removal)
+	case *wire.Envelope_ConfigRequest:
+		c.answerConfig(from, body.ConfigRequest)
+	case *wire.Envelope_ConfigReply:
+		c.takeConfig(from, body.ConfigReply)
+	default:
+		c.Counters.DroppedMalform.Add(1)
+	}
+	return c.finish()
+}
+
+// finish returns the output gathered so far.
+func (c *Core) finish() Output {
+	c.replay()
+	c.applyEvents()
+	probes, _ := c.members.Drain()
+	c.output.Probes = append(c.output.Probes, probes...)
+	for _, message := range c.output.Probes {
+		c.spend(proto.Size(message.Probe) + 1 + wire.DatagramIPBytes)
+	}
+	output := c.output
+	c.output = Output{}
+	return output
+}
+
+// post queues a message for another balancer's link.
+func (c *Core) post(to flow.MemberKey, body *wire.Envelope) {
+	known := c.members.Peer(to)
+	if known == nil {
+		return
+	}
+	c.spend(proto.Size(body))
+	c.output.Envelopes = append(c.output.Envelopes, Envelope{To: to, Address: known.Instance.Address, Body: body})
+}
+
+// nextID returns an id for a claim, sync or rebase that no earlier incarnation of
+// this process has used.
+func (c *Core) nextID() uint64 {
+	c.lastID = max(c.lastID+1, uint64(time.Now().UnixNano()))
+	return c.lastID
+}
+
+// applyEvents acts on what the membership found out.
+func (c *Core) applyEvents() {
+	probes, events := c.members.Drain()
+	c.output.Probes = append(c.output.Probes, probes...)
+	for _, event := range events {
+		c.handleEvent(event)
+	}
+}
+
+func (c *Core) handleEvent(event member.Event) {
+	switch event {
+	case member.Woken:
+		c.Counters.Wakes.Add(1)
+		c.log.Info("member: process was paused, its view is not believed")
+		c.demote(false)
+	case member.DeclaredDead:
+		c.log.Info("member: others declared this balancer dead, its slots are claimed again")
+		c.demote(true)
+		c.publishView()
+	case member.ViewChanged:
+		c.publishView()
+	}
+}
+
+// demote stops owning and replicating everything. What was held without a pause
+// still counts as knowledge of the slot, and is told to whoever claims it.
+func (c *Core) demote(continuous bool) {
+	c.lease.Store(0)
+	c.claim = nil
+	clear(c.syncs)
+	clear(c.rebases)
+	for index := range c.slots {
+		s := &c.slots[index]
+		s.mutex.Lock()
+		s.former = continuous && (s.held || s.former)
+		s.synced = false
+		s.claiming = false
+		c.release(s)
+		s.mutex.Unlock()
+	}
+	c.publishView()
+}
+
+// offer makes the balancer ready to own slots: it has looked for others, and no
+// other has a newer configuration than the one in force here.
+func (c *Core) offer() {
+	if c.leaving || c.members.Ready() || c.Compiled() == nil || !c.members.Found() {
+		return
+	}
+	if _, version := c.newestPeer(); version > c.Compiled().Version {
+		return
+	}
+	c.log.Info("member: ready to own slots", "ConfigVersion", c.Compiled().Version)
+	c.members.SetReady(true)
+	c.applyEvents()
+}
+
+// publishView computes the holders of all slots anew and claims what falls to
+// this balancer.
+func (c *Core) publishView() {
+	before := c.view.Load()
+	ready := make([]ring.Member, 0, len(before.peers)+1)
+	peers := make(map[flow.MemberKey]peer, len(before.peers))
+	for _, known := range c.members.Peers() {
+		peers[known.Key] = peer{address: known.Instance.Address, reachable: known.Reachable()}
+		if known.Ready && known.Reachable() {
+			ready = append(ready, ring.Member{Key: known.Key, Domain: known.Instance.Domain, Rack: known.Instance.Rack})
+		}
+	}
+	if c.members.Ready() {
+		self := c.settings.Self
+		ready = append(ready, ring.Member{Key: c.key, Domain: self.Domain, Rack: self.Rack})
+	}
+	c.view.Store(&view{config: before.config, owners: ring.NewOwners(ready), peers: peers})
+	c.noteLives()
+	c.reviewSlots()
+}
+
+// reviewSlots compares each slot with the new view.
+func (c *Core) reviewSlots() {
+	v := c.view.Load()
+	var wanted []flow.Slot
+	for index := range c.slots {
+		number := flow.Slot(index)
+		holders := v.owners[number]
+		s := &c.slots[index]
+		s.mutex.Lock()
+		if holders.Owner == c.key && !s.held {
+			wanted = append(wanted, number)
+		}
+		if holders.Owner != c.key && s.claiming {
+			s.claiming = false
+			c.requeue(s)
+		}
+		if !s.held && !holders.Includes(c.key) {
+			s.synced = false
+		}
+		c.keepSynced(s, holders)
+		s.mutex.Unlock()
+	}
+	c.startClaim(wanted)
+}
+
+// noteLives finds out who has been restarted or paused since the last view, and
+// with it has lost what it was sent.
+func (c *Core) noteLives() {
+	clear(c.reborn)
+	for _, known := range c.members.Peers() {
+		if before, seen := c.lives[known.Key]; seen && !member.SameLife(before, known.Incarnation) {
+			c.reborn[known.Key] = true
+		}
+		c.lives[known.Key] = known.Incarnation
+	}
+}
+
+// keepSynced forgets that a replica has the slot if it is no longer a replica,
+// cannot be reached or has begun a new life. The slot is locked.
+func (c *Core) keepSynced(s *slot, holders ring.Holders) {
+	peers := c.view.Load().peers
+	for index, replica := range s.syncedTo {
+		if !holders.Includes(replica) || !peers[replica].reachable || c.reborn[replica] {
+			s.syncedTo[index] = 0
+		}
+	}
+}
+
+// requeue takes the packets that wait in a slot out, to be decided for anew once
+// the slot is unlocked. The slot is locked.
+func (c *Core) requeue(s *slot) {
+	for index := range s.queue {
+		c.queued.Add(-1)
+		waiting := s.queue[index]
+		c.output.replays = append(c.output.replays, waiting)
+	}
+	s.queue = nil
+}
+
+// replay decides for packets that have waited.
+func (c *Core) replay() {
+	replays := c.output.replays
+	c.output.replays = nil
+	for index := range replays {
+		c.Packet(&replays[index], &c.output.Actions)
+	}
+}
+
+// adaptThreshold lets the placement threshold follow the control traffic.
+func (c *Core) adaptThreshold(now time.Time) {
+	if now.Sub(c.lastAdapt) < adaptPeriod {
+		return
+	}
+	total := c.Counters.ControlBytes.Load()
+	spent := float64(total - c.spentAtAdapt)
+	allowed := float64(c.settings.ControlBytesPerSecond) * now.Sub(c.lastAdapt).Seconds()
+	c.placer.Adapt(spent, allowed)
+	c.spentAtAdapt = total
+	c.lastAdapt = now
+}
+
+// sweep deletes records whose time has passed, some slots at a time.
+func (c *Core) sweep(now time.Time) {
+	compiled := c.Compiled()
+	if compiled == nil {
+		return
+	}
+	for range sweepSlots {
+		number := flow.Slot(c.sweepNext)
+		c.sweepNext = (c.sweepNext + 1) % flow.SlotCount
+		s := &c.slots[number]
+		s.mutex.Lock()
+		c.sweepSlot(s, compiled, now)
+		removed := s.removed
+		s.removed = nil
+		s.mutex.Unlock()
+		c.queueRemovals(number, removed)
+	}
+}
+
+func (c *Core) sweepSlot(s *slot, compiled *config.Compiled, now time.Time) {
+	second := c.second(now)
+	for id, record := range s.flows {
+		idle := time.Duration(second-record.Seen) * time.Second
+		if idle > lifeOf(record, compiled.ByKey(record.Service)) {
+			c.forget(s, id, record)
+		}
+	}
+}
+
+// foreverLife is longer than any process runs.
+const foreverLife = 1<<63 - 1
+
+// lifeOf returns how long a record is kept after its last packet. A replica's
+// records live until the owner removes them, since the owner sees the packets.
+func lifeOf(record flow.Record, service *config.CompiledService) time.Duration {
+	switch {
+	case service == nil:
+		return 0
+	case record.Kind == flow.Replica:
+		return foreverLife
+	case record.Kind == flow.Cached:
+		return CacheLife
+	case record.State == flow.Closed:
+		return closedLife
+	case record.State == flow.Opening:
+		return openingLife
+	}
+	return time.Duration(service.IdleTimeout)
+}
+
+func (c *Core) queueRemovals(number flow.Slot, removed []uint32) {
+	if len(removed) == 0 {
+		return
+	}
+	for _, replica := range c.view.Load().owners[number].Replicas {
+		if replica != 0 && replica != c.key {
+			c.removals[replica] = append(c.removals[replica], removed...)
+		}
+	}
+}
+
+// flushRemovals sends the low halves of removed ids in batches.
+func (c *Core) flushRemovals(now time.Time) {
+	if now.Before(c.nextRemoval) {
+		return
+	}
+	c.nextRemoval = now.Add(removalPeriod)
+	for _, replica := range sortedKeys(c.removals) {
+		c.post(replica, &wire.Envelope{Body: &wire.Envelope_Removal{Removal: &wire.Removal{Flows: c.removals[replica]}}})
+	}
+	clear(c.removals)
+}
+
+// takeRemoval deletes replicas whose id's low half is named. Where two replicas
+// share it, both stay: keeping one too many is harmless, deleting one is not.
+func (c *Core) takeRemoval(removal *wire.Removal) {
+	named := make(map[uint32]int, len(removal.Flows))
+	for _, low := range removal.Flows {
+		named[low] = 0
+	}
+	c.eachReplica(func(_ *slot, id flow.ID) {
+		if count, ok := named[uint32(id)]; ok {
+			named[uint32(id)] = count + 1
+		}
+	})
+	c.eachReplica(func(s *slot, id flow.ID) {
+		if named[uint32(id)] == 1 {
+			c.remove(s, id)
+		}
+	})
+}
+
+func (c *Core) eachReplica(visit func(s *slot, id flow.ID)) {
+	for index := range c.slots {
+		s := &c.slots[index]
+		s.mutex.Lock()
+		for id, record := range s.flows {
+			if record.Kind == flow.Replica {
+				visit(s, id)
+			}
+		}
+		s.mutex.Unlock()
+	}
+}
+
+// sortedKeys returns a map's balancers in an order that does not vary.
+func sortedKeys[Value any](values map[flow.MemberKey]Value) []flow.MemberKey {
+	keys := make([]flow.MemberKey, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// SetBundle takes a configuration from the platform or another balancer. An older
+// version than the one in force is ignored; one with problems is refused.
+func (c *Core) SetBundle(bundle config.Bundle, source string) (Output, error) {
+	before := c.Compiled()
+	if before != nil && bundle.Index.Version <= before.Version {
+		return c.finish(), nil
+	}
+	compiled, err := config.Compile(bundle, c.settings.Self.Fabric, before)
+	if err != nil {
+		c.Counters.ConfigRejected.Add(1)
+		c.log.Info("config: configuration rejected", "ConfigVersion", bundle.Index.Version, "Source", source, "Problems", err.Error())
+		return c.finish(), fmt.Errorf("core: take configuration %d from %s: %w", bundle.Index.Version, source, err)
+	}
+	c.putInForce(before, compiled)
+	c.log.Info("config: configuration in force", "ConfigVersion", compiled.Version, "Source", source)
+	return c.finish(), nil
+}
+
+// putInForce keeps the defaults of unrecorded flows where they were, and only
+// then lets the traffic goroutines see the new configuration.
+func (c *Core) putInForce(before, after *config.Compiled) {
+	if before != nil {
+		c.keepBases(before, after)
+	}
+	c.placer.SetConfig(after, before == nil)
+	c.history = append(c.history, after)
+	if len(c.history) > historyLength {
+		c.history = c.history[1:]
+	}
+	v := *c.view.Load()
+	v.config = after
+	c.view.Store(&v)
+	c.members.SetVersion(after.Version)
+	c.members.Nudge()
+}
+
+func (c *Core) keepBases(before, after *config.Compiled) {
+	for _, service := range after.Services {
+		old := before.ByKey(service.Key)
+		if old == nil || old.Defaults == service.Defaults {
+			continue
+		}
+		for index := range c.slots {
+			s := &c.slots[index]
+			s.mutex.Lock()
+			if s.coverage() != wire.Coverage_COVERAGE_NONE || s.claiming {
+				s.setBase(service, flow.Slot(index), s.base(old, flow.Slot(index)))
+			}
+			s.mutex.Unlock()
+		}
+	}
+}
+
+// compiledAt returns a configuration of the recent past, nil if it is not held.
+func (c *Core) compiledAt(version config.Version) *config.Compiled {
+	for _, compiled := range c.history {
+		if compiled.Version == version {
+			return compiled
+		}
+	}
+	return nil
+}
+
+// newestPeer returns the reachable balancer with the newest configuration.
+func (c *Core) newestPeer() (flow.MemberKey, config.Version) {
+	var newest flow.MemberKey
+	var version config.Version
+	for _, known := range c.members.Peers() {
+		if known.Reachable() && known.Version > version {
+			newest, version = known.Key, known.Version
+		}
+	}
+	return newest, version
+}
+
+// askForConfig fetches a newer configuration from a balancer that has it.
+func (c *Core) askForConfig(now time.Time) {
+	compiled := c.Compiled()
+	peer, version := c.newestPeer()
+	if compiled != nil && version <= compiled.Version || version == 0 || now.Before(c.nextConfigAsk) {
+		return
+	}
+	c.nextConfigAsk = now.Add(configRetry)
+	request := &wire.ConfigRequest{}
+	if compiled != nil {
+		request.Version = uint64(compiled.Version)
+		for _, value := range compiled.Bundle.Values {
+			request.Have = append(request.Have, &wire.Value{Name: string(value.Name), Version: uint64(value.Version)})
+		}
+	}
+	c.post(peer, &wire.Envelope{Body: &wire.Envelope_ConfigRequest{ConfigRequest: request}})
+}
+
+// answerConfig sends the values that the other does not have.
+func (c *Core) answerConfig(from flow.MemberKey, request *wire.ConfigRequest) {
+	compiled := c.Compiled()
+	if compiled == nil || uint64(compiled.Version) <= request.Version {
+		return
+	}
+	have := make(map[string]uint64, len(request.Have))
+	for _, value := range request.Have {
+		have[value.Name] = value.Version
+	}
+	reply := &wire.ConfigReply{Index: valueToWire(compiled.Bundle.Index)}
+	for _, value := range compiled.Bundle.Values {
+		if version, held := have[string(value.Name)]; held && version == uint64(value.Version) {
+			continue
+		}
+		reply.Values = append(reply.Values, valueToWire(value))
+	}
+	c.post(from, &wire.Envelope{Body: &wire.Envelope_ConfigReply{ConfigReply: reply}})
+}
+
+func valueToWire(value config.Value) *wire.Value {
+	return &wire.Value{Name: string(value.Name), Version: uint64(value.Version), Data: value.Data}
+}
+
+func valueFromWire(value *wire.Value) config.Value {
+	return config.Value{Name: config.ValueName(value.Name), Version: config.Version(value.Version), Data: value.Data}
+}
+
+// takeConfig completes a reply with the values held here.
+func (c *Core) takeConfig(from flow.MemberKey, reply *wire.ConfigReply) {
+	if reply.Index == nil {
+		c.Counters.DroppedMalform.Add(1)
+		return
+	}
+	index, err := config.Decode[config.Index](string(config.IndexName), reply.Index.Data)
+	if err != nil {
+		c.Counters.DroppedMalform.Add(1)
+		return
+	}
+	bundle := config.Bundle{Index: valueFromWire(reply.Index)}
+	values := make([]config.Value, 0, len(reply.Values))
+	for _, value := range reply.Values {
+		values = append(values, valueFromWire(value))
+	}
+	if compiled := c.Compiled(); compiled != nil {
+		values = append(values, compiled.Bundle.Values...)
+	}
+	bundle.Values = config.Select(index, values)
+	name := c.members.Peer(from).Instance.Name
+	output, err := c.SetBundle(bundle, "peer "+name)
+	c.output.merge(output)
+	if err != nil {
+		c.log.Info("config: relay failed", "Peer", name, "Problems", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/core/traffic.go
@@ -0,0 +1,562 @@
+package core
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"wigeonmoor.example/internal/config"
+	"wigeonmoor.example/internal/flow"
+	"wigeonmoor.example/internal/packet"
+	"wigeonmoor.example/internal/place"
+	"wigeonmoor.example/internal/wire"
+)
+
+// reuseIdle is the silence after which a first packet of an open flow is taken
+// for a new flow if its backend server is leaving.
+const reuseIdle flow.Second = 60
+
+// ErrKind is returned by Datagram for kinds that the core does not take.
+var ErrKind = errors.New("core: datagram of unknown kind")
+
+// passage is one packet on its way through the core.
+type passage struct {
+	view    *view
+	service *config.CompiledService
+	packet  *packet.Packet
+	id      flow.ID
+	number  flow.Slot
+	slot    *slot
+	hops    uint8
+	// from is the balancer that handed the packet over, invalid for the fabric.
+	from netip.AddrPort
+	now  time.Time
+	out  *Actions
+}
+
+// Packet decides for a packet from the fabric.
+func (c *Core) Packet(p *packet.Packet, out *Actions) {
+	c.enter(p, 0, netip.AddrPort{}, out)
+}
+
+// Datagram takes a datagram of another balancer that is not a probe. Senders that
+// are not on the platform's list are refused. The parsed packet is scratch.
+func (c *Core) Datagram(parser *packet.Parser, scratch *packet.Packet, data []byte, from netip.AddrPort, out *Actions) error {
+	if len(data) == 0 {
+		return wire.ErrShort
+	}
+	switch wire.DatagramKind(data[0]) {
+	case wire.KindHand:
+		hops, inner, err := wire.ReadHand(data)
+		if err == nil {
+			err = parser.Parse(inner, scratch)
+		}
+		if err != nil {
+			return c.malformed(err)
+		}
+		c.enter(scratch, hops, from, out)
+		return nil
+	case wire.KindInstall:
+		install, inner, err := wire.ReadInstall(data)
+		if err == nil {
+			err = parser.Parse(inner, scratch)
+		}
+		if err != nil {
+			return c.malformed(err)
+		}
+		c.install(scratch, install, out)
+		return nil
+	case wire.KindAnswer:
+		answer, err := wire.ReadAnswer(data)
+		if err != nil {
+			return c.malformed(err)
+		}
+		c.learn(answer)
+		return nil
+	}
+	return c.malformed(ErrKind)
+}
+
+func (c *Core) malformed(err error) error {
+	c.Counters.DroppedMalform.Add(1)
+	return err
+}
+
+// start looks the packet's service and slot up and locks the slot. It returns
+// false, with nothing locked, for packets of no service.
+func (c *Core) start(p *packet.Packet, out *Actions) (passage, bool) {
+	v := c.view.Load()
+	if v.config == nil {
+		c.Counters.DroppedNoConfig.Add(1)
+		return passage{}, false
+	}
+	service := v.config.ByAddress(p.Key.Protocol, p.Key.Service)
+	if service == nil {
+		c.Counters.DroppedService.Add(1)
+		return passage{}, false
+	}
+	id := flow.Hash(v.config.HashSeed, p.Key)
+	number := id.Slot()
+	s := &c.slots[number]
+	s.mutex.Lock()
+	return passage{
+		view:    v,
+		service: service,
+		packet:  p,
+		id:      id,
+		number:  number,
+		slot:    s,
+		now:     time.Now(),
+		out:     out,
+	}, true
+}
+
+// enter decides for a packet of a caller, from the fabric or handed over.
+func (c *Core) enter(p *packet.Packet, hops uint8, from netip.AddrPort, out *Actions) {
+	pass, ok := c.start(p, out)
+	if !ok {
+		return
+	}
+	defer pass.slot.mutex.Unlock()
+	pass.hops = hops
+	pass.from = from
+	record, known := pass.slot.flows[pass.id]
+	if known && record.Service != pass.service.Key {
+		// Two flows of different services have one id: never send one of them to
+		// the other's backend server.
+		c.Counters.Conflicts.Add(1)
+		known = false
+	}
+	switch {
+	case pass.slot.held:
+		c.decide(&pass, record, known)
+	case pass.slot.claiming:
+		c.await(&pass, record, known)
+	default:
+		c.pass(&pass, record, known)
+	}
+}
+
+// pass treats a packet for whose flow another balancer decides: it goes to its
+// backend server if the owner has answered lately, otherwise to the owner. First
+// and last packets always go to the owner, which has to know of them.
+func (c *Core) pass(p *passage, record flow.Record, known bool) {
+	if known && record.Kind == flow.Cached && !p.packet.First && !p.packet.Last {
+		age := c.second(p.now) - record.Seen
+		backend := p.service.ByKey(record.Backend)
+		if age < flow.Second(CacheLife/time.Second) && backend != nil {
+			c.forward(p, backend)
+			return
+		}
+		c.remove(p.slot, p.id)
+	}
+	owner := p.view.owners[p.number].Owner
+	if owner == c.key {
+		// The view has changed, and the control goroutine will claim the slot.
+		c.await(p, record, known)
+		return
+	}
+	c.handOver(p, owner)
+}
+
+// handOver sends the packet to another balancer.
+func (c *Core) handOver(p *passage, to flow.MemberKey) {
+	target, known := p.view.peers[to]
+	if !known {
+		c.Counters.DroppedNoOwner.Add(1)
+		return
+	}
+	if p.hops >= maxHops {
+		c.Counters.DroppedHops.Add(1)
+		return
+	}
+	c.Counters.HandedOver.Add(1)
+	p.out.hand(target.address, p.hops+1, p.packet.Bytes)
+}
+
+// await keeps a packet until the slot's claim has ended, unless the flow is on
+// record already.
+func (c *Core) await(p *passage, record flow.Record, known bool) {
+	if known && !p.packet.First {
+		if backend := p.service.ByKey(record.Backend); backend != nil {
+			c.forward(p, backend)
+			return
+		}
+	}
+	if c.queued.Load() >= maxQueuedPackets {
+		c.Counters.DroppedQueue.Add(1)
+		return
+	}
+	c.queued.Add(1)
+	c.Counters.Queued.Add(1)
+	kept := *p.packet
+	kept.Bytes = append([]byte(nil), p.packet.Bytes...)
+	p.slot.queue = append(p.slot.queue, kept)
+}
+
+// decide treats a packet of a slot that this balancer holds.
+func (c *Core) decide(p *passage, record flow.Record, known bool) {
+	if known && !record.Owned() {
+		// What was remembered as a replica or ingress now is this owner's.
+		record = c.own(p, record)
+	}
+	switch {
+	case !known && (p.packet.First || p.service.Protocol == flow.UDP):
+		c.placeNew(p)
+	case !known:
+		c.adopt(p)
+	case p.packet.First:
+		c.again(p, record)
+	default:
+		c.proceed(p, record)
+	}
+}
+
+// own turns a remembered record into an owned one.
+func (c *Core) own(p *passage, record flow.Record) flow.Record {
+	record.Kind = flow.Exception
+	if record.Backend == p.slot.base(p.service, p.number) {
+		record.Kind = flow.Default
+	}
+	if record.State == flow.Opening && !p.packet.First {
+		record.State = flow.Open
+	}
+	c.put(p.slot, p.id, record)
+	return record
+}
+
+// again treats a first packet of a flow on record: a retransmission, which gets
+// the same answer, or a new flow between the same ports.
+func (c *Core) again(p *passage, record flow.Record) {
+	idle := c.second(p.now) - record.Seen
+	ended := record.State == flow.Closed || idle > reuseIdle
+	backend := p.service.ByKey(record.Backend)
+	if backend == nil || ended && !p.service.Eligible(record.Backend) {
+		c.forget(p.slot, p.id, record)
+		c.placeNew(p)
+		return
+	}
+	if ended {
+		record.State = flow.Opening
+		record.HandOffs = 0
+	}
+	record.Seen = c.second(p.now)
+	c.put(p.slot, p.id, record)
+	if record.Kind == flow.Exception {
+		c.sendAlong(p, backend)
+		return
+	}
+	c.forward(p, backend)
+}
+
+// proceed sends a packet of an open flow on.
+func (c *Core) proceed(p *passage, record flow.Record) {
+	backend := p.service.ByKey(record.Backend)
+	if backend == nil {
+		c.reject(p, "backend server is gone")
+		c.forget(p.slot, p.id, record)
+		return
+	}
+	if backend.State == config.Leaving && c.drainEnded(p.service, backend, p.now) {
+		c.reject(p, "drain deadline has passed")
+		c.forget(p.slot, p.id, record)
+		return
+	}
+	opened := record.State == flow.Opening
+	before := record
+	record.Seen = c.second(p.now)
+	if opened {
+		record.State = flow.Open
+	}
+	if p.packet.Last {
+		record.State = flow.Closed
+	}
+	if p.from.IsValid() {
+		record.HandOffs = min(record.HandOffs, 254) + 1
+	}
+	c.tellIngress(p, &record)
+	if record.State != before.State {
+		c.put(p.slot, p.id, record)
+	} else {
+		p.slot.flows[p.id] = record
+	}
+	if opened && record.Kind == flow.Exception && p.service.Protocol == flow.UDP {
+		// Nothing acknowledges UDP here, so the second packet also visits the
+		// replicas, in case the first one was lost on the way.
+		c.sendAlong(p, backend)
+		return
+	}
+	c.forward(p, backend)
+}
+
+// tellIngress answers a balancer that has handed a flow's packets over often.
+func (c *Core) tellIngress(p *passage, record *flow.Record) {
+	if record.HandOffs < answerAfterHandOff || record.State == flow.Closed || p.hops != 1 {
+		return
+	}
+	if !c.affordable(wire.AnswerBytes + wire.DatagramIPBytes) {
+		return
+	}
+	record.HandOffs = 0
+	c.spend(wire.AnswerBytes + wire.DatagramIPBytes)
+	c.Counters.Answered.Add(1)
+	p.out.answer(p.from, wire.Answer{Flow: p.id, Backend: record.Backend, Service: record.Service})
+}
+
+// placeNew decides for a flow that nobody has decided for.
+func (c *Core) placeNew(p *passage) {
+	if !c.mayDecide(p.now) {
+		c.Counters.DroppedLease.Add(1)
+		c.logFlow("route: packet dropped", p, nil, "lease has run out")
+		return
+	}
+	base := p.slot.base(p.service, p.number)
+	choice := c.placer.Choose(place.Request{
+		Service:     p.service,
+		Default:     c.defaultFor(p, base),
+		Flow:        p.id,
+		DefaultOnly: p.now.Before(p.slot.settledAt),
+	})
+	if choice.Backend == nil {
+		c.refuse(p, string(choice.Reason))
+		return
+	}
+	record := flow.Record{
+		Backend: choice.Backend.Key,
+		Service: p.service.Key,
+		Seen:    c.second(p.now),
+		Kind:    flow.Default,
+	}
+	if choice.Backend.Key != base || p.slot.rebasing == p.service.Key {
+		record.Kind = flow.Exception
+	}
+	c.Counters.Placed.Add(1)
+	c.logFlow("place: flow placed", p, choice.Backend, string(choice.Reason))
+	if record.Kind == flow.Exception {
+		c.Counters.Exceptions.Add(1)
+		c.put(p.slot, p.id, record)
+		c.sendAlong(p, choice.Backend)
+		return
+	}
+	c.recordDefault(p, record)
+	c.forward(p, choice.Backend)
+}
+
+// defaultFor returns the default that new flows are compared with. While
+// retransmissions to the owner before may arrive it is the base, if that may get
+// new flows at all.
+func (c *Core) defaultFor(p *passage, base flow.BackendKey) flow.BackendKey {
+	if p.now.Before(p.slot.settledAt) && p.service.Eligible(base) {
+		return base
+	}
+	return p.service.Defaults[p.number]
+}
+
+// adopt treats a packet of an open flow that is not on record: it is on its
+// slot's base, as all others are on record, or its record is lost.
+func (c *Core) adopt(p *passage) {
+	if p.now.Before(p.slot.doubtUntil) {
+		// A balancer that cannot be reached may know the flow's exception. The
+		// caller's retransmission may reach it through the fabric.
+		c.Counters.DroppedDoubt.Add(1)
+		return
+	}
+	backend := p.service.ByKey(p.slot.base(p.service, p.number))
+	if backend == nil {
+		c.reject(p, "nobody knows the flow")
+		return
+	}
+	if p.packet.Last {
+		c.forward(p, backend)
+		return
+	}
+	c.Counters.Adopted.Add(1)
+	c.logFlow("route: flow adopted", p, backend, "unrecorded flows are on the slot's default")
+	c.recordDefault(p, flow.Record{
+		Backend: backend.Key,
+		Service: p.service.Key,
+		Seen:    c.second(p.now),
+		Kind:    flow.Default,
+		State:   flow.Open,
+	})
+	c.forward(p, backend)
+}
+
+// recordDefault records a default-placed flow if the table has room. Without the
+// record the flow can still be computed, but the slot's base can't be moved.
+func (c *Core) recordDefault(p *passage, record flow.Record) {
+	if c.settings.MaxFlows > 0 && c.records.Load() >= int64(c.settings.MaxFlows) {
+		c.Counters.Unrecorded.Add(1)
+		p.slot.knownSince = p.now
+		return
+	}
+	c.put(p.slot, p.id, record)
+}
+
+// sendAlong sends an exception's packet to its backend server by way of the
+// slot's replicas.
+func (c *Core) sendAlong(p *passage, backend *config.CompiledBackend) {
+	install := wire.Install{Backend: backend.Key}
+	for _, replica := range p.view.owners[p.number].Replicas {
+		if replica != c.key && p.view.peers[replica].reachable {
+			install.Chain[install.Length] = replica
+			install.Length++
+		}
+	}
+	c.passAlong(p, install, backend)
+}
+
+// passAlong sends an exception's packet to the next replica of its chain that
+// can be reached, or at the chain's end to the backend server.
+func (c *Core) passAlong(p *passage, install wire.Install, backend *config.CompiledBackend) {
+	for install.Length > 0 {
+		next := p.view.peers[install.Pop()]
+		if !next.reachable {
+			continue
+		}
+		p.out.install(next.address, install, p.packet.Bytes)
+		action := &p.out.List[len(p.out.List)-1]
+		c.spend(action.headerLength - wire.HandBytes)
+		return
+	}
+	c.forward(p, backend)
+}
+
+// install takes an exception on record and sends its packet on.
+func (c *Core) install(p *packet.Packet, install wire.Install, out *Actions) {
+	pass, ok := c.start(p, out)
+	if !ok {
+		return
+	}
+	defer pass.slot.mutex.Unlock()
+	backend := pass.service.ByKey(install.Backend)
+	if backend == nil {
+		// The configuration that names the backend server has not arrived here.
+		// The caller sends its first packet again.
+		c.Counters.DroppedBackend.Add(1)
+		return
+	}
+	record, known := pass.slot.flows[pass.id]
+	if known && pass.slot.held && record.Owned() && record.Backend != install.Backend && record.State != flow.Closed {
+		// This balancer has decided for the flow as its owner since.
+		c.Counters.Conflicts.Add(1)
+		if decided := pass.service.ByKey(record.Backend); decided != nil {
+			c.forward(&pass, decided)
+		}
+		return
+	}
+	kind := flow.Replica
+	if pass.slot.held {
+		kind = flow.Exception
+	}
+	c.put(pass.slot, pass.id, flow.Record{
+		Backend: install.Backend,
+		Service: pass.service.Key,
+		Seen:    c.second(pass.now),
+		Kind:    kind,
+	})
+	c.passAlong(&pass, install, backend)
+}
+
+// learn remembers an owner's answer.
+func (c *Core) learn(answer wire.Answer) {
+	compiled := c.Compiled()
+	if compiled == nil {
+		return
+	}
+	service := compiled.ByKey(answer.Service)
+	if service == nil || service.ByKey(answer.Backend) == nil {
+		return
+	}
+	if c.settings.MaxFlows > 0 && c.records.Load() >= int64(c.settings.MaxFlows) {
+		return
+	}
+	s := &c.slots[answer.Flow.Slot()]
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	record, known := s.flows[answer.Flow]
+	if s.held || known && record.Kind != flow.Cached {
+		return
+	}
+	c.put(s, answer.Flow, flow.Record{
+		Backend: answer.Backend,
+		Service: answer.Service,
+		Seen:    c.second(time.Now()),
+		Kind:    flow.Cached,
+		State:   flow.Open,
+	})
+}
+
+// forward sends the packet to a backend server of its own service.
+func (c *Core) forward(p *passage, backend *config.CompiledBackend) {
+	c.Counters.Forwarded.Add(1)
+	p.out.forward(backend, p.packet.Bytes)
+}
+
+// refuse tells the caller that its first packet was not sent on. It stays silent
+// where an owner before this one may have sent it on.
+func (c *Core) refuse(p *passage, reason string) {
+	if p.now.Before(p.slot.refuseAt) || !p.packet.First && p.service.Protocol == flow.TCP {
+		c.Counters.DroppedLimit.Add(1)
+		c.logFlow("place: packet dropped", p, nil, reason)
+		return
+	}
+	c.Counters.Refused.Add(1)
+	c.logFlow("place: flow refused", p, nil, reason)
+	c.reply(p)
+}
+
+// reject resets a flow that cannot go on, so that its caller need not wait.
+func (c *Core) reject(p *passage, reason string) {
+	c.Counters.Reset.Add(1)
+	c.logFlow("route: flow reset", p, nil, reason)
+	c.reply(p)
+}
+
+func (c *Core) reply(p *passage) {
+	if p.packet.Last {
+		return
+	}
+	data, err := packet.NewParser().Reject(p.packet.Bytes)
+	if err != nil {
+		c.Counters.DroppedMalform.Add(1)
+		return
+	}
+	p.out.back(data)
+}
+
+// forget deletes a record and has the replicas delete an exception's copies.
+func (c *Core) forget(s *slot, id flow.ID, record flow.Record) {
+	if record.Kind == flow.Exception {
+		s.removed = append(s.removed, uint32(id))
+	}
+	c.remove(s, id)
+}
+
+// drainEnded reports whether flows may be cut off a leaving backend server.
+func (c *Core) drainEnded(service *config.CompiledService, backend *config.CompiledBackend, now time.Time) bool {
+	if service.DrainDeadline == 0 {
+		return false
+	}
+	gauge := c.placer.GaugeOf(service, backend)
+	return now.Sub(gauge.LeavingSince(now)) > time.Duration(service.DrainDeadline)
+}
+
+// logFlow writes the line of a decision.
+func (c *Core) logFlow(message string, p *passage, backend *config.CompiledBackend, reason string) {
+	log := c.log
+	if !log.Enabled() {
+		return
+	}
+	name := "none"
+	if backend != nil {
+		name = backend.Name
+	}
+	log.Info(message,
+		"Flow", p.packet.Key.String(),
+		"Service", p.service.Name,
+		"Backend", name,
+		"Owner", c.settings.Self.Name,
+		"Reason", reason,
+		"ConfigVersion", p.view.config.Version)
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,624 @@
+// Package member decides which other balancers are alive.
+//
+// It probes one balancer a period in a shuffled round, asks others to probe what
+// did not answer, suspects, and after a while declares dead (SWIM). Changes ride
+// on probes, so the cost of a balancer does not grow with the fleet. Heartbeats
+// from everybody to everybody were rejected: 1,300 balancers would each receive
+// as many a period.
+//
+// A balancer also keeps a lease: it may decide for others' flows only while
+// somebody who does not suspect it answered a probe that it sent less than Lease
+// ago. Lease is shorter than the time others take to declare it dead, so a
+// process that was paused has lost its lease before another decides in its place.
+package member
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"wigeonmoor.example/internal/config"
+	"wigeonmoor.example/internal/flow"
+	"wigeonmoor.example/internal/wire"
+)
+
+// Times of the failure detector.
+const (
+	ProbePeriod      = 300 * time.Millisecond
+	probeTimeout     = 150 * time.Millisecond
+	suspicionTimeout = 1500 * time.Millisecond
+	Lease            = 1 * time.Second
+	// WakeGap is the time between ticks from which a process counts as paused.
+	WakeGap = 700 * time.Millisecond
+	// JoinTimeout is how long a balancer looks for others before it serves alone.
+	JoinTimeout      = 1500 * time.Millisecond
+	revivePeriod     = 1 * time.Second
+	indirectProbers  = 2
+	nudgeFanOut      = 3
+	updatesPerProbe  = 6
+	repeatMultiplier = 3
+)
+
+// Status is what is believed of a balancer.
+type Status string
+
+// The statuses of a balancer.
+const (
+	Unknown Status = "Unknown"
+	Alive   Status = "Alive"
+	Suspect Status = "Suspect"
+	Dead    Status = "Dead"
+)
+
+var statusOnWire = map[Status]wire.Status{
+	Unknown: wire.Status_STATUS_UNKNOWN,
+	Alive:   wire.Status_STATUS_ALIVE,
+	Suspect: wire.Status_STATUS_SUSPECT,
+	Dead:    wire.Status_STATUS_DEAD,
+}
+
+var statusFromWire = map[wire.Status]Status{
+	wire.Status_STATUS_ALIVE:   Alive,
+	wire.Status_STATUS_SUSPECT: Suspect,
+	wire.Status_STATUS_DEAD:    Dead,
+}
+
+// Peer is another balancer, as this one sees it.
+type Peer struct {
+	Instance    config.Instance
+	Key         flow.MemberKey
+	Status      Status
+	Ready       bool
+	Incarnation uint64
+	Version     config.Version
+	// Since is when the status was taken on.
+	Since time.Time
+	// Heard is when the balancer last answered a probe.
+	Heard time.Time
+}
+
+// Event is a change that the owner of the membership has to act on.
+type Event string
+
+// The events of a membership.
+const (
+	// ViewChanged: the set of balancers that can own slots may have changed.
+	ViewChanged Event = "ViewChanged"
+	// Woken: this process was paused and must not believe what it knew.
+	Woken Event = "Woken"
+	// DeclaredDead: others took over what this balancer owned.
+	DeclaredDead Event = "DeclaredDead"
+)
+
+// Message is a probe to be sent.
+type Message struct {
+	To    netip.AddrPort
+	Probe *wire.Probe
+}
+
+// Config describes the balancer that the membership belongs to.
+type Config struct {
+	Self config.Instance
+	Rand *rand.Rand
+}
+
+// pending is a probe that has not been answered.
+type pending struct {
+	target   flow.MemberKey
+	sentAt   time.Time
+	indirect bool
+	// relayFor is the balancer that asked for the probe, zero for own probes.
+	relayFor      flow.MemberKey
+	relaySequence uint32
+}
+
+// rumor is an update with the number of times it is still to be repeated.
+type rumor struct {
+	update *wire.Update
+	left   int
+}
+
+// Members is the membership of one balancer. It belongs to the control goroutine.
+type Members struct {
+	self        config.Instance
+	key         flow.MemberKey
+	random      *rand.Rand
+	peers       map[flow.MemberKey]*Peer
+	order       []flow.MemberKey
+	next        int
+	incarnation uint64
+	ready       bool
+	version     config.Version
+	loads       func() []*wire.Load
+	sequence    uint32
+	pending     map[uint32]pending
+	rumors      map[flow.MemberKey]*rumor
+	events      []Event
+	messages    []Message
+	startedAt   time.Time
+	lastTick    time.Time
+	nextProbe   time.Time
+	nextRevive  time.Time
+	leaseUntil  time.Time
+	answered    bool
+}
+
+// New returns the membership of a balancer that knows nobody yet.
+func New(settings Config) *Members {
+	now := time.Now()
+	return &Members{
+		self:        settings.Self,
+		key:         settings.Self.Key(),
+		random:      settings.Rand,
+		peers:       make(map[flow.MemberKey]*Peer),
+		incarnation: uint64(now.UnixNano()),
+		pending:     make(map[uint32]pending),
+		rumors:      make(map[flow.MemberKey]*rumor),
+		startedAt:   now,
+		lastTick:    now,
+		loads:       func() []*wire.Load { return nil },
+	}
+}
+
+// sameLifeSpan is the largest count of refutations in one life.
+const sameLifeSpan = 1_000_000
+
+// SameLife reports whether two incarnations of a balancer belong to one life.
+// A life's first incarnation is the nanosecond at which the process started or
+// woke, and refutations count up from it by one, so lives lie far apart.
+func SameLife(a, b uint64) bool {
+	return max(a, b)-min(a, b) < sameLifeSpan
+}
+
+// Key returns the balancer's own key.
+func (m *Members) Key() flow.MemberKey {
+	return m.key
+}
+
+// Incarnation returns the balancer's own incarnation.
+func (m *Members) Incarnation() uint64 {
+	return m.incarnation
+}
+
+// Ready reports whether the balancer offers to own slots.
+func (m *Members) Ready() bool {
+	return m.ready
+}
+
+// SetReady offers to own slots, or takes the offer back.
+func (m *Members) SetReady(ready bool) {
+	if m.ready == ready {
+		return
+	}
+	m.ready = ready
+	m.incarnation++
+	m.spread(m.key, m.incarnation, Alive, ready)
+	m.event(ViewChanged)
+}
+
+// SetVersion states the configuration version in force here.
+func (m *Members) SetVersion(version config.Version) {
+	m.version = version
+}
+
+// Nudge probes a few random balancers at once, so that a new configuration
+// version reaches everybody in a few rounds rather than a few periods.
+func (m *Members) Nudge() {
+	now := time.Now()
+	nudged := 0
+	for _, index := range m.random.Perm(len(m.order)) {
+		peer := m.peers[m.order[index]]
+		if peer == nil || !peer.Reachable() || peer.Version >= m.version {
+			continue
+		}
+		m.ping(peer, now, 0, 0)
+		nudged++
+		if nudged == nudgeFanOut {
+			return
+		}
+	}
+}
+
+// SetLoads gives the source of load reports that ride on probes.
+func (m *Members) SetLoads(loads func() []*wire.Load) {
+	m.loads = loads
+}
+
+// SetInstances takes the platform's list. Balancers off the list are forgotten
+// once they are dead: the list lags, and an instance that answers is there.
+func (m *Members) SetInstances(list config.Instances) {
+	listed := make(map[flow.MemberKey]bool, len(list.Instances))
+	for _, instance := range list.Instances {
+		key := instance.Key()
+		listed[key] = true
+		if key == m.key || instance.Fabric != m.self.Fabric {
+			continue
+		}
+		if peer, known := m.peers[key]; known {
+			peer.Instance = instance
+			continue
+		}
+		m.peers[key] = &Peer{Instance: instance, Key: key, Status: Unknown, Since: time.Now()}
+	}
+	for key, peer := range m.peers {
+		if !listed[key] && peer.Status != Alive && peer.Status != Suspect {
+			delete(m.peers, key)
+		}
+	}
+	m.shuffle()
+}
+
+// shuffle starts a new round of probes in a new order.
+func (m *Members) shuffle() {
+	m.order = m.order[:0]
+	for key := range m.peers {
+		m.order = append(m.order, key)
+	}
+	// The sort makes the order depend on the seed alone, not on the map.
+	slices.Sort(m.order)
+	m.random.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
+	m.next = 0
+}
+
+// Peers returns all known peers, by key.
+func (m *Members) Peers() []*Peer {
+	peers := make([]*Peer, 0, len(m.peers))
+	for _, peer := range m.peers {
+		peers = append(peers, peer)
+	}
+	slices.SortFunc(peers, func(a, b *Peer) int { return int(int64(a.Key) - int64(b.Key)) })
+	return peers
+}
+
+// Peer returns a peer, nil if it is not known.
+func (m *Members) Peer(key flow.MemberKey) *Peer {
+	return m.peers[key]
+}
+
+// Reachable reports whether the peer is believed to be alive or only suspected.
+func (p *Peer) Reachable() bool {
+	return p.Status == Alive || p.Status == Suspect
+}
+
+// LeaseUntil returns the time until which the balancer may decide. With nobody
+// else alive there is nobody who could decide in its place, and the lease does
+// not run out.
+func (m *Members) LeaseUntil() (until time.Time, alone bool) {
+	for _, peer := range m.peers {
+		if peer.Reachable() {
+			return m.leaseUntil, false
+		}
+	}
+	return time.Time{}, m.searched()
+}
+
+// searched reports whether others had the time to answer since the start or wake.
+func (m *Members) searched() bool {
+	return m.answered || time.Since(m.startedAt) >= JoinTimeout
+}
+
+// Found reports whether the balancer has reached another, or has looked for long
+// enough to serve alone.
+func (m *Members) Found() bool {
+	return m.searched()
+}
+
+// Drain returns and clears what is to be sent and acted on.
+func (m *Members) Drain() ([]Message, []Event) {
+	messages, events := m.messages, m.events
+	m.messages, m.events = nil, nil
+	return messages, events
+}
+
+func (m *Members) event(event Event) {
+	if !slices.Contains(m.events, event) {
+		m.events = append(m.events, event)
+	}
+}
+
+// Tick advances the failure detector. It is called several times a ProbePeriod.
+func (m *Members) Tick() {
+	now := time.Now()
+	if now.Sub(m.lastTick) > WakeGap {
+		m.wake(now)
+	}
+	m.lastTick = now
+	m.expireProbes(now)
+	m.expireSuspects(now)
+	if !now.Before(m.nextProbe) {
+		m.nextProbe = now.Add(ProbePeriod)
+		m.probeNext(now)
+	}
+	if !now.Before(m.nextRevive) {
+		m.nextRevive = now.Add(revivePeriod)
+		m.probeLost(now)
+	}
+}
+
+// wake forgets what the process believed before it was paused.
+func (m *Members) wake(now time.Time) {
+	m.incarnation = max(m.incarnation+1, uint64(now.UnixNano()))
+	m.ready = false
+	m.answered = false
+	m.startedAt = now
+	m.leaseUntil = time.Time{}
+	clear(m.pending)
+	for _, peer := range m.peers {
+		// Suspicions from before the pause have not been running here.
+		if peer.Status == Suspect {
+			peer.Status = Alive
+		}
+	}
+	m.spread(m.key, m.incarnation, Alive, false)
+	m.event(Woken)
+	m.event(ViewChanged)
+}
+
+func (m *Members) expireProbes(now time.Time) {
+	for sequence, probe := range m.pending {
+		age := now.Sub(probe.sentAt)
+		peer := m.peers[probe.target]
+		switch {
+		case peer == nil || probe.relayFor != 0 && age > 2*probeTimeout:
+			delete(m.pending, sequence)
+		case probe.relayFor == 0 && !probe.indirect && age >= probeTimeout:
+			probe.indirect = true
+			m.pending[sequence] = probe
+			m.askOthers(sequence, probe.target)
+		case probe.relayFor == 0 && age >= 2*probeTimeout:
+			delete(m.pending, sequence)
+			if peer.Status == Alive {
+				m.set(peer, peer.Incarnation, Suspect, peer.Ready)
+			}
+		}
+	}
+}
+
+// askOthers has a few other balancers probe one that did not answer.
+func (m *Members) askOthers(sequence uint32, target flow.MemberKey) {
+	asked := 0
+	for _, index := range m.random.Perm(len(m.order)) {
+		peer := m.peers[m.order[index]]
+		if peer == nil || peer.Status != Alive || peer.Key == target {
+			continue
+		}
+		m.send(peer, wire.ProbeKind_PROBE_KIND_REQUEST, sequence, target)
+		asked++
+		if asked == indirectProbers {
+			return
+		}
+	}
+}
+
+func (m *Members) expireSuspects(now time.Time) {
+	for _, peer := range m.peers {
+		if peer.Status == Suspect && now.Sub(peer.Since) >= suspicionTimeout {
+			m.set(peer, peer.Incarnation, Dead, peer.Ready)
+		}
+	}
+}
+
+func (m *Members) probeNext(now time.Time) {
+	for range m.order {
+		if m.next >= len(m.order) {
+			m.shuffle()
+		}
+		peer := m.peers[m.order[m.next]]
+		m.next++
+		if peer != nil && peer.Status != Dead {
+			m.ping(peer, now, 0, 0)
+			return
+		}
+	}
+}
+
+// probeLost tries one dead balancer, to find out that a partition has healed,
+// and everybody unknown, so that a newcomer finds the others at once.
+func (m *Members) probeLost(now time.Time) {
+	var dead []*Peer
+	for _, peer := range m.Peers() {
+		if peer.Status == Dead {
+			dead = append(dead, peer)
+		}
+		if peer.Status == Unknown && !m.answered {
+			m.ping(peer, now, 0, 0)
+		}
+	}
+	if len(dead) > 0 {
+		m.ping(dead[m.random.IntN(len(dead))], now, 0, 0)
+	}
+}
+
+func (m *Members) ping(peer *Peer, now time.Time, relayFor flow.MemberKey, relaySequence uint32) {
+	m.sequence++
+	m.pending[m.sequence] = pending{target: peer.Key, sentAt: now, relayFor: relayFor, relaySequence: relaySequence}
+	m.send(peer, wire.ProbeKind_PROBE_KIND_PING, m.sequence, peer.Key)
+}
+
+func (m *Members) send(peer *Peer, kind wire.ProbeKind, sequence uint32, target flow.MemberKey) {
+	probe := &wire.Probe{
+		Kind:          kind,
+		From:          uint32(m.key),
+		Incarnation:   m.incarnation,
+		Sequence:      sequence,
+		Ready:         m.ready,
+		ConfigVersion: uint64(m.version),
+		Suspected:     peer.Status == Suspect || peer.Status == Dead,
+		Updates:       m.updatesFor(peer),
+	}
+	if kind != wire.ProbeKind_PROBE_KIND_PING {
+		probe.Target = uint32(target)
+	}
+	if kind == wire.ProbeKind_PROBE_KIND_PING {
+		probe.Loads = m.loads()
+	}
+	m.messages = append(m.messages, Message{To: peer.Instance.Address, Probe: probe})
+}
+
+// updatesFor returns the updates that ride to a peer, first of all what is
+// believed of the peer itself, so that it can refute it.
+func (m *Members) updatesFor(peer *Peer) []*wire.Update {
+	var updates []*wire.Update
+	if peer.Status == Suspect || peer.Status == Dead {
+		updates = append(updates, &wire.Update{
+			Member:      uint32(peer.Key),
+			Incarnation: peer.Incarnation,
+			Status:      statusOnWire[peer.Status],
+		})
+	}
+	for _, key := range m.freshest() {
+		rumor := m.rumors[key]
+		if key == peer.Key {
+			continue
+		}
+		updates = append(updates, rumor.update)
+		rumor.left--
+		if rumor.left <= 0 {
+			delete(m.rumors, key)
+		}
+		if len(updates) >= updatesPerProbe {
+			break
+		}
+	}
+	return updates
+}
+
+// freshest returns the rumors' keys, the least repeated first.
+func (m *Members) freshest() []flow.MemberKey {
+	keys := make([]flow.MemberKey, 0, len(m.rumors))
+	for key := range m.rumors {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b flow.MemberKey) int {
+		if m.rumors[a].left != m.rumors[b].left {
+			return m.rumors[b].left - m.rumors[a].left
+		}
+		return int(int64(a) - int64(b))
+	})
+	return keys
+}
+
+// Handle takes a probe from the network. Senders that are not on the platform's
+// list are refused.
+func (m *Members) Handle(probe *wire.Probe) (accepted bool) {
+	peer := m.peers[flow.MemberKey(probe.From)]
+	if peer == nil {
+		return false
+	}
+	now := time.Now()
+	m.believe(peer, probe.Incarnation, Alive, probe.Ready)
+	if peer.Incarnation == probe.Incarnation {
+		peer.Version = max(peer.Version, config.Version(probe.ConfigVersion))
+	}
+	for _, update := range probe.Updates {
+		m.hear(update)
+	}
+	switch probe.Kind {
+	case wire.ProbeKind_PROBE_KIND_PING:
+		m.send(peer, wire.ProbeKind_PROBE_KIND_ACK, probe.Sequence, m.key)
+	case wire.ProbeKind_PROBE_KIND_REQUEST:
+		if target := m.peers[flow.MemberKey(probe.Target)]; target != nil {
+			m.ping(target, now, peer.Key, probe.Sequence)
+		}
+	case wire.ProbeKind_PROBE_KIND_ACK:
+		m.acknowledge(peer, probe, now)
+	}
+	return true
+}
+
+// acknowledge ends the probe that the answer belongs to.
+func (m *Members) acknowledge(peer *Peer, probe *wire.Probe, now time.Time) {
+	sent, waiting := m.pending[probe.Sequence]
+	if !waiting || sent.target != flow.MemberKey(probe.Target) {
+		return
+	}
+	delete(m.pending, probe.Sequence)
+	if sent.relayFor != 0 {
+		if asker := m.peers[sent.relayFor]; asker != nil {
+			m.send(asker, wire.ProbeKind_PROBE_KIND_ACK, sent.relaySequence, sent.target)
+		}
+		return
+	}
+	m.answered = true
+	target := m.peers[sent.target]
+	target.Heard = now
+	if peer.Key == sent.target && !probe.Suspected {
+		if until := sent.sentAt.Add(Lease); until.After(m.leaseUntil) {
+			m.leaseUntil = until
+		}
+	}
+}
+
+// hear takes a rumor about a balancer.
+func (m *Members) hear(update *wire.Update) {
+	status := statusFromWire[update.Status]
+	key := flow.MemberKey(update.Member)
+	if key == m.key {
+		m.refute(update.Incarnation, status)
+		return
+	}
+	peer := m.peers[key]
+	if peer == nil || status == "" {
+		return
+	}
+	m.believe(peer, update.Incarnation, status, update.Ready)
+}
+
+// refute answers a rumor that this balancer is suspected or dead.
+func (m *Members) refute(incarnation uint64, status Status) {
+	if incarnation < m.incarnation || status == Alive || status == "" {
+		return
+	}
+	m.incarnation = incarnation + 1
+	m.spread(m.key, m.incarnation, Alive, m.ready)
+	if status == Dead {
+		m.event(DeclaredDead)
+		m.event(ViewChanged)
+	}
+}
+
+var statusRank = map[Status]int{Unknown: -1, Alive: 0, Suspect: 1, Dead: 2}
+
+// believe takes news of a peer if it is newer, or worse of the same incarnation.
+func (m *Members) believe(peer *Peer, incarnation uint64, status Status, ready bool) {
+	if incarnation < peer.Incarnation {
+		return
+	}
+	if incarnation == peer.Incarnation && statusRank[status] <= statusRank[peer.Status] {
+		return
+	}
+	m.set(peer, incarnation, status, ready)
+}
+
+func (m *Members) set(peer *Peer, incarnation uint64, status Status, ready bool) {
+	changed := peer.Ready != ready || peer.Reachable() != (status == Alive || status == Suspect)
+	if incarnation != peer.Incarnation {
+		peer.Version = 0
+		changed = true
+	}
+	if status != peer.Status {
+		peer.Since = time.Now()
+	}
+	peer.Incarnation = incarnation
+	peer.Status = status
+	peer.Ready = ready
+	m.spread(peer.Key, incarnation, status, ready)
+	if changed {
+		m.event(ViewChanged)
+	}
+}
+
+// spread queues an update to ride on the next probes, about 3 log2(n) times.
+func (m *Members) spread(key flow.MemberKey, incarnation uint64, status Status, ready bool) {
+	m.rumors[key] = &rumor{
+		update: &wire.Update{
+			Member:      uint32(key),
+			Incarnation: incarnation,
+			Status:      statusOnWire[status],
+			Ready:       ready,
+		},
+		left: repeatMultiplier * bits.Len(uint(len(m.peers)+1)),
+	}
+}
--- /dev/null
+++ b/internal/packet/packet.go
@@ -0,0 +1,247 @@
+// Package packet reads callers' IP packets and builds the few packets that a
+// balancer sends in its own name: resets and refusals.
+//
+// Packets are read by gopacket's decoding layers, which are reused from packet
+// to packet and do not allocate. Reading headers by hand was rejected: it is
+// plumbing that the library does well.
+package packet
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"wigeonmoor.example/internal/flow"
+)
+
+// MaxBytes is the size of the largest packet that is accepted.
+const MaxBytes = 9000
+
+const defaultTTL = 64
+
+// Errors of Parse.
+var (
+	// ErrFragment is returned for IP fragments, which carry no ports.
+	ErrFragment = errors.New("packet: fragment has no ports")
+	// ErrProtocol is returned for packets that are neither TCP nor UDP.
+	ErrProtocol = errors.New("packet: neither TCP nor UDP")
+)
+
+// Packet is one parsed packet of a caller. Bytes aliases the parsed input.
+type Packet struct {
+	Key   flow.Key
+	Bytes []byte
+	// First is set on packets that may open a flow: a TCP SYN.
+	First bool
+	// Last is set on packets that end a flow: a TCP FIN or RST.
+	Last bool
+	// Ack is set on TCP packets that acknowledge something.
+	Ack bool
+}
+
+// Parser reads packets. It is reused, and is not safe for concurrent use.
+type Parser struct {
+	ip4     layers.IPv4
+	ip6     layers.IPv6
+	tcp     layers.TCP
+	udp     layers.UDP
+	payload gopacket.Payload
+	decoded []gopacket.LayerType
+	four    *gopacket.DecodingLayerParser
+	six     *gopacket.DecodingLayerParser
+}
+
+// NewParser returns a parser for bare IPv4 and IPv6 packets.
+func NewParser() *Parser {
+	p := &Parser{}
+	p.four = gopacket.NewDecodingLayerParser(layers.LayerTypeIPv4, &p.ip4, &p.tcp, &p.udp, &p.payload)
+	p.six = gopacket.NewDecodingLayerParser(layers.LayerTypeIPv6, &p.ip6, &p.tcp, &p.udp, &p.payload)
+	p.four.IgnoreUnsupported = true
+	p.six.IgnoreUnsupported = true
+	return p
+}
+
+// Parse reads one packet into out.
+func (p *Parser) Parse(data []byte, out *Packet) error {
+	if len(data) == 0 {
+		return errors.New("packet: parse: empty")
+	}
+	if len(data) > MaxBytes {
+		return fmt.Errorf("packet: parse: %d bytes, at most %d", len(data), MaxBytes)
+	}
+	source, destination, err := p.decode(data)
+	if err != nil {
+		return err
+	}
+	*out = Packet{Bytes: data}
+	switch p.decodedTransport() {
+	case layers.LayerTypeTCP:
+		out.Key = flow.Key{
+			Protocol: flow.TCP,
+			Caller:   netip.AddrPortFrom(source, uint16(p.tcp.SrcPort)),
+			Service:  netip.AddrPortFrom(destination, uint16(p.tcp.DstPort)),
+		}
+		out.First = p.tcp.SYN && !p.tcp.ACK
+		out.Last = p.tcp.FIN || p.tcp.RST
+		out.Ack = p.tcp.ACK
+		return nil
+	case layers.LayerTypeUDP:
+		out.Key = flow.Key{
+			Protocol: flow.UDP,
+			Caller:   netip.AddrPortFrom(source, uint16(p.udp.SrcPort)),
+			Service:  netip.AddrPortFrom(destination, uint16(p.udp.DstPort)),
+		}
+		return nil
+	}
+	return ErrProtocol
+}
+
+// decode runs the decoding layers for the packet's IP version.
+func (p *Parser) decode(data []byte) (source, destination netip.Addr, err error) {
+	switch data[0] >> 4 {
+	case 4:
+		if err := p.four.DecodeLayers(data, &p.decoded); err != nil {
+			return source, destination, fmt.Errorf("packet: parse IPv4: %w", err)
+		}
+		if p.ip4.FragOffset != 0 || p.ip4.Flags&layers.IPv4MoreFragments != 0 {
+			return source, destination, ErrFragment
+		}
+		source, _ = netip.AddrFromSlice(p.ip4.SrcIP)
+		destination, _ = netip.AddrFromSlice(p.ip4.DstIP)
+		return source, destination, nil
+	case 6:
+		if err := p.six.DecodeLayers(data, &p.decoded); err != nil {
+			return source, destination, fmt.Errorf("packet: parse IPv6: %w", err)
+		}
+		if p.ip6.NextHeader == layers.IPProtocolIPv6Fragment {
+			return source, destination, ErrFragment
+		}
+		source, _ = netip.AddrFromSlice(p.ip6.SrcIP)
+		destination, _ = netip.AddrFromSlice(p.ip6.DstIP)
+		return source, destination, nil
+	}
+	return source, destination, fmt.Errorf("packet: parse: IP version %d", data[0]>>4)
+}
+
+func (p *Parser) decodedTransport() gopacket.LayerType {
+	for _, layer := range p.decoded {
+		if layer == layers.LayerTypeTCP || layer == layers.LayerTypeUDP {
+			return layer
+		}
+	}
+	return gopacket.LayerTypeZero
+}
+
+// Reject builds the packet that ends the flow of the given packet at its
+// caller: a TCP reset, or an ICMP port unreachable for UDP. As the answer to a
+// SYN, a reset is a refusal and tells the caller that nothing was run.
+func (p *Parser) Reject(data []byte) ([]byte, error) {
+	var parsed Packet
+	if err := p.Parse(data, &parsed); err != nil {
+		return nil, fmt.Errorf("packet: reject: %w", err)
+	}
+	if parsed.Key.Protocol == flow.UDP {
+		return p.unreachable(parsed)
+	}
+	if p.tcp.RST {
+		return nil, errors.New("packet: reject: a reset is never answered")
+	}
+	reset := layers.TCP{SrcPort: p.tcp.DstPort, DstPort: p.tcp.SrcPort, RST: true}
+	if p.tcp.ACK {
+		reset.Seq = p.tcp.Ack
+	} else {
+		reset.ACK = true
+		reset.Ack = p.tcp.Seq + uint32(len(p.tcp.Payload))
+		if p.tcp.SYN {
+			reset.Ack++
+		}
+	}
+	return serialize(parsed.Key, layers.IPProtocolTCP, &reset)
+}
+
+// unreachable builds an ICMP port unreachable that quotes the packet's headers.
+func (p *Parser) unreachable(parsed Packet) ([]byte, error) {
+	if !parsed.Key.Service.Addr().Is4() {
+		return nil, errors.New("packet: reject: no refusal for UDP over IPv6")
+	}
+	quoted := parsed.Bytes[:min(len(parsed.Bytes), int(p.ip4.IHL)*4+8)]
+	code := layers.CreateICMPv4TypeCode(layers.ICMPv4TypeDestinationUnreachable, layers.ICMPv4CodePort)
+	return serialize(parsed.Key, layers.IPProtocolICMPv4, &layers.ICMPv4{TypeCode: code}, gopacket.Payload(quoted))
+}
+
+// serialize builds an IP packet from the service to the caller.
+func serialize(key flow.Key, protocol layers.IPProtocol, upper ...gopacket.SerializableLayer) ([]byte, error) {
+	var network gopacket.NetworkLayer
+	var lowest gopacket.SerializableLayer
+	source := key.Service.Addr().AsSlice()
+	destination := key.Caller.Addr().AsSlice()
+	if key.Service.Addr().Is4() {
+		ip := &layers.IPv4{Version: 4, TTL: defaultTTL, Protocol: protocol, SrcIP: source, DstIP: destination}
+		network, lowest = ip, ip
+	} else {
+		ip := &layers.IPv6{Version: 6, HopLimit: defaultTTL, NextHeader: protocol, SrcIP: source, DstIP: destination}
+		network, lowest = ip, ip
+	}
+	for _, layer := range upper {
+		if tcp, ok := layer.(*layers.TCP); ok {
+			if err := tcp.SetNetworkLayerForChecksum(network); err != nil {
+				return nil, fmt.Errorf("packet: checksum: %w", err)
+			}
+		}
+	}
+	buffer := gopacket.NewSerializeBuffer()
+	options := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	all := append([]gopacket.SerializableLayer{lowest}, upper...)
+	if err := gopacket.SerializeLayers(buffer, options, all...); err != nil {
+		return nil, fmt.Errorf("packet: serialize: %w", err)
+	}
+	return buffer.Bytes(), nil
+}
+
+// Segment describes a TCP segment to build, for the stand-ins and tests.
+type Segment struct {
+	From    netip.AddrPort
+	To      netip.AddrPort
+	Seq     uint32
+	AckSeq  uint32
+	SYN     bool
+	ACK     bool
+	FIN     bool
+	RST     bool
+	Payload []byte
+}
+
+// Bytes returns the segment as an IP packet.
+func (s Segment) Bytes() ([]byte, error) {
+	tcp := &layers.TCP{
+		SrcPort: layers.TCPPort(s.From.Port()),
+		DstPort: layers.TCPPort(s.To.Port()),
+		Seq:     s.Seq,
+		Ack:     s.AckSeq,
+		SYN:     s.SYN,
+		ACK:     s.ACK,
+		FIN:     s.FIN,
+		RST:     s.RST,
+		Window:  65535,
+	}
+	key := flow.Key{Service: s.From, Caller: s.To}
+	return serialize(key, layers.IPProtocolTCP, tcp, gopacket.Payload(s.Payload))
+}
+
+// Segment returns the TCP segment that was parsed last.
+func (p *Parser) Segment(parsed Packet) Segment {
+	return Segment{
+		From:    parsed.Key.Caller,
+		To:      parsed.Key.Service,
+		Seq:     p.tcp.Seq,
+		AckSeq:  p.tcp.Ack,
+		SYN:     p.tcp.SYN,
+		ACK:     p.tcp.ACK,
+		FIN:     p.tcp.FIN,
+		RST:     p.tcp.RST,
+		Payload: p.tcp.Payload,
+	}
+}
