Thin whole path: daemon, operator's command line, stand-ins and make demo

Cause: nothing ran as processes yet. The first run of the demo found that after a leave and a kill 61 to 70 of 2,500 flows waited for an answer: the claims of the fleet's start had put the control budget 75 s into debt, so replicas were not brought up to date and their next owners were in doubt. Ruled out: lost exceptions (the flows were on their default) and the fabric's lag (packets had reached the new owner). Change: claims carry slots as bits, replies leave out what is unknown, and the budget's debt is bounded to half a second, as replication must not wait longer. Conclusion: a budget may delay what can wait, never safety for long.

--- a/internal/config/bundle.go
+++ b/internal/config/bundle.go
@@ -254,3 +254,10 @@
 	}
 	return selected
 }
+
+// Holds reports whether the bundle has the value that an index entry names.
+func (b Bundle) Holds(entry IndexEntry) bool {
+	return slices.ContainsFunc(b.Values, func(value Value) bool {
+		return value.Name == entry.Name && value.Version == entry.Version
+	})
+}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -156,13 +156,15 @@
 	Instances []Instance
 }
 
-// Instance is one balancer on the list. Address is its peer address.
+// Instance is one balancer on the list. Address is its peer address, Traffic the
+// one to which the fabric sends.
 type Instance struct {
 	Name    string
 	Domain  string
 	Rack    string
 	Fabric  string
 	Address netip.AddrPort
+	Traffic netip.AddrPort
 	State   InstanceState
 }
 
--- a/internal/core/claim.go
+++ b/internal/core/claim.go
@@ -59,9 +59,7 @@
 func (c *Core) sendClaim(now time.Time) {
 	c.claim.sentAt = now
 	message := &wire.Claim{Claim: c.claim.id, ConfigVersion: uint64(c.claim.version)}
-	for _, number := range c.claim.slots {
-		message.Slots = append(message.Slots, uint32(number))
-	}
+	message.Slots = slotBits(c.claim.slots)
 	for _, to := range sortedKeys(c.claim.waiting) {
 		c.post(to, &wire.Envelope{Body: &wire.Envelope_Claim{Claim: message}})
 	}
@@ -97,14 +95,13 @@
 		reply.ConfigVersion = uint64(reference.Version)
 	}
 	holders := c.view.Load().owners
-	for _, number := range message.Slots {
-		if number >= flow.SlotCount {
-			c.Counters.DroppedMalform.Add(1)
-			continue
-		}
+	for _, number := range slotsOf(message.Slots) {
 		s := &c.slots[number]
 		s.mutex.Lock()
-		reply.Slots = append(reply.Slots, c.encode(s, flow.Slot(number), reference))
+		state := c.encode(s, number, reference)
+		if state.Coverage != wire.Coverage_COVERAGE_NONE || len(state.Flows) > 0 {
+			reply.Slots = append(reply.Slots, state)
+		}
 		c.grant(s, holders[number])
 		s.mutex.Unlock()
 	}
@@ -299,3 +296,26 @@
 		c.post(owner, &wire.Envelope{Body: &wire.Envelope_ClaimReply{ClaimReply: replies[owner]}})
 	}
 }
+
+const bitsPerByte = 8
+
+// slotBits packs slots into a bit each: 512 bytes however many there are.
+func slotBits(slots []flow.Slot) []byte {
+	packed := make([]byte, (flow.SlotCount+bitsPerByte-1)/bitsPerByte)
+	for _, number := range slots {
+		packed[number/bitsPerByte] |= 1 << (number % bitsPerByte)
+	}
+	return packed
+}
+
+// slotsOf unpacks slots. Bits beyond the last slot are ignored.
+func slotsOf(packed []byte) []flow.Slot {
+	var slots []flow.Slot
+	for number := range flow.Slot(flow.SlotCount) {
+		at := int(number / bitsPerByte)
+		if at < len(packed) && packed[at]&(1<<(number%bitsPerByte)) != 0 {
+			slots = append(slots, number)
+		}
+	}
+	return slots
+}
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -21,6 +22,18 @@
 // adaptPeriod is how often the placement threshold follows the budget.
 const adaptPeriod = time.Second
 
+// Bounds of the load reports that are passed on.
+const (
+	maxFetched = 64
+	maxLoadAge = 5 * time.Second
+)
+
+// fetchedReport is a load report to be passed on.
+type fetchedReport struct {
+	backend flow.BackendKey
+	report  place.Report
+}
+
 // Tick advances everything that depends on time.
 func (c *Core) Tick() Output {
 	now := time.Now()
@@ -61,15 +74,50 @@
 	return c.finish()
 }
 
-// SetReport takes a load report that this balancer has fetched itself.
-func (c *Core) SetReport(backend flow.BackendKey, report place.Report) {
+// maxLoadsPerProbe bounds the load reports that ride on one probe.
+const maxLoadsPerProbe = 8
+
+// TakeReport takes a load report that this balancer has fetched itself and lets
+// it ride on the next probes.
+func (c *Core) TakeReport(backend flow.BackendKey, report place.Report) Output {
+	c.setReport(backend, report)
+	c.fetched = slices.DeleteFunc(c.fetched, func(before fetchedReport) bool { return before.backend == backend })
+	if len(c.fetched) < maxFetched {
+		c.fetched = append(c.fetched, fetchedReport{backend, report})
+	}
+	return c.finish()
+}
+
+// nextLoads returns some of the fetched reports in turn.
+func (c *Core) nextLoads() []*wire.Load {
+	var loads []*wire.Load
+	for range min(maxLoadsPerProbe, len(c.fetched)) {
+		next := c.fetched[0]
+		c.fetched = append(c.fetched[1:], next)
+		age := time.Since(next.report.At)
+		if age > maxLoadAge {
+			continue
+		}
+		loads = append(loads, &wire.Load{
+			Backend:         uint32(next.backend),
+			Open:            next.report.Open,
+			AgeMilliseconds: uint32(age.Milliseconds()),
+			Healthy:         next.report.Healthy,
+			Shedding:        next.report.Shedding,
+		})
+	}
+	return loads
+}
+
+// setReport stores a report for placement.
+func (c *Core) setReport(backend flow.BackendKey, report place.Report) {
 	if gauge := c.placer.Gauge(backend); gauge != nil {
 		gauge.SetReport(report)
 	}
 }
 
 func (c *Core) heardLoad(load *wire.Load) {
-	c.SetReport(flow.BackendKey(load.Backend), place.Report{
+	c.setReport(flow.BackendKey(load.Backend), place.Report{
 		Open:     load.Open,
 		Healthy:  load.Healthy,
 		Shedding: load.Shedding,
@@ -202,8 +250,10 @@
 	before := c.view.Load()
 	ready := make([]ring.Member, 0, len(before.peers)+1)
 	peers := make(map[flow.MemberKey]peer, len(before.peers))
+	listed := make(map[netip.AddrPort]bool, len(before.peers))
 	for _, known := range c.members.Peers() {
 		peers[known.Key] = peer{address: known.Instance.Address, reachable: known.Reachable()}
+		listed[known.Instance.Address] = true
 		if known.Ready && known.Reachable() {
 			ready = append(ready, ring.Member{Key: known.Key, Domain: known.Instance.Domain, Rack: known.Instance.Rack})
 		}
@@ -212,7 +262,14 @@
 		self := c.settings.Self
 		ready = append(ready, ring.Member{Key: c.key, Domain: self.Domain, Rack: self.Rack})
 	}
-	c.view.Store(&view{config: before.config, owners: ring.NewOwners(ready), peers: peers})
+	c.view.Store(&view{
+		config: before.config,
+		owners: ring.NewOwners(ready),
+		peers:  peers,
+		listed: listed,
+		reader: c.isReader(ready),
+		ready:  ready,
+	})
 	c.noteLives()
 	c.reviewSlots()
 }
@@ -242,6 +299,18 @@
 	c.startClaim(wanted)
 }
 
+// isReader chooses the failure domain's readers. A balancer that is not ready yet
+// reads for itself.
+func (c *Core) isReader(ready []ring.Member) bool {
+	var domain []ring.Member
+	for _, candidate := range ready {
+		if candidate.Domain == c.settings.Self.Domain {
+			domain = append(domain, candidate)
+		}
+	}
+	return !c.members.Ready() || ring.Chosen(domain, c.key, readerSalt, readersPerDomain)
+}
+
 // noteLives finds out who has been restarted or paused since the last view, and
 // with it has lost what it was sent.
 func (c *Core) noteLives() {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -64,15 +64,22 @@
 	answerAfterHandOff = 3
 	sweepSlots         = 32
 	historyLength      = 64
-	slotsPerMessage    = 64
+	slotsPerMessage    = 256
 	budgetBurst        = 10 * time.Second
+	// maxDebt bounds for how long one large change holds up what can wait.
+	maxDebt           = 500 * time.Millisecond
+	readersPerDomain  = 2
+	probersPerBackend = 2
+	readerSalt        = 0x52454144
 )
 
 // Config sets a core up.
 type Config struct {
 	Self config.Instance
 	Rand *rand.Rand
-	Log  logr.Logger
+	// Log takes what happens now and then, Decisions a line for each decision.
+	Log       logr.Logger
+	Decisions logr.Logger
 	// ControlBytesPerSecond is the budget for control traffic that can wait.
 	ControlBytesPerSecond int
 	// MaxFlows bounds the records; above it, default-placed flows go unrecorded.
@@ -212,6 +219,11 @@
 	config *config.Compiled
 	owners *ring.Owners
 	peers  map[flow.MemberKey]peer
+	// listed holds the peer addresses on the platform's list.
+	listed map[netip.AddrPort]bool
+	// reader: this balancer is one of those that watch the platform.
+	reader bool
+	ready  []ring.Member
 }
 
 // Core is the decision core of one balancer.
@@ -242,6 +254,7 @@
 	syncs         map[uint64]*syncing
 	rebases       map[uint64]*rebase
 	removals      map[flow.MemberKey][]uint32
+	fetched       []fetchedReport
 	lives         map[flow.MemberKey]uint64
 	reborn        map[flow.MemberKey]bool
 	sweepNext     int
@@ -274,7 +287,8 @@
 		lastRefill: now,
 		lastAdapt:  now,
 	}
-	c.view.Store(&view{owners: &ring.Owners{}, peers: map[flow.MemberKey]peer{}})
+	c.view.Store(&view{owners: &ring.Owners{}, peers: map[flow.MemberKey]peer{}, reader: true})
+	c.members.SetLoads(c.nextLoads)
 	c.tokens.Store(int64(settings.ControlBytesPerSecond))
 	return c
 }
@@ -294,11 +308,38 @@
 	return c.view.Load().config
 }
 
+// Reader reports whether this balancer is one of the few of its failure domain
+// that watch the platform.
+func (c *Core) Reader() bool {
+	return c.view.Load().reader
+}
+
+// Listed returns the address of a balancer on the platform's list.
+func (c *Core) Listed(key flow.MemberKey) (netip.AddrPort, bool) {
+	known, ok := c.view.Load().peers[key]
+	return known.address, ok
+}
+
+// Probes reports whether this balancer fetches the backend server's load report.
+func (c *Core) Probes(backend flow.BackendKey) bool {
+	return ring.Chosen(c.view.Load().ready, c.key, uint32(backend), probersPerBackend)
+}
+
 // Records returns the number of flow records held.
 func (c *Core) Records() int64 {
 	return c.records.Load()
 }
 
+// Alone reports whether no other balancer is ready to own slots.
+func (c *Core) Alone() bool {
+	for _, candidate := range c.view.Load().ready {
+		if candidate.Key != c.key {
+			return false
+		}
+	}
+	return true
+}
+
 // HeldSlots returns the number of slots that this balancer decides for.
 func (c *Core) HeldSlots() int {
 	held := 0
@@ -349,8 +390,10 @@
 	gained := int64(rate * now.Sub(c.lastRefill).Seconds())
 	c.lastRefill = now
 	limit := int64(rate * budgetBurst.Seconds())
-	if c.tokens.Add(gained) > limit {
-		c.tokens.Store(limit)
+	lowest := -int64(rate * maxDebt.Seconds())
+	left := c.tokens.Add(gained)
+	if left > limit || left < lowest {
+		c.tokens.Store(min(max(left, lowest), limit))
 	}
 }
 
--- a/internal/core/traffic.go
+++ b/internal/core/traffic.go
@@ -19,6 +19,9 @@
 // ErrKind is returned by Datagram for kinds that the core does not take.
 var ErrKind = errors.New("core: datagram of unknown kind")
 
+// ErrStranger is returned by Datagram for senders that are not on the list.
+var ErrStranger = errors.New("core: datagram of a sender that is not on the instance list")
+
 // passage is one packet on its way through the core.
 type passage struct {
 	view    *view
@@ -43,7 +46,11 @@
 // are not on the platform's list are refused. The parsed packet is scratch.
 func (c *Core) Datagram(parser *packet.Parser, scratch *packet.Packet, data []byte, from netip.AddrPort, out *Actions) error {
 	if len(data) == 0 {
-		return wire.ErrShort
+		return c.malformed(wire.ErrShort)
+	}
+	if !c.view.Load().listed[from] {
+		c.Counters.DroppedStranger.Add(1)
+		return ErrStranger
 	}
 	switch wire.DatagramKind(data[0]) {
 	case wire.KindHand:
@@ -544,7 +551,7 @@
 
 // logFlow writes the line of a decision.
 func (c *Core) logFlow(message string, p *passage, backend *config.CompiledBackend, reason string) {
-	log := c.log
+	log := c.settings.Decisions
 	if !log.Enabled() {
 		return
 	}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -198,3 +198,21 @@
 	}
 	return result
 }
+
+// Chosen reports whether a member is among the first count of the members in the
+// rendezvous order of a salt, to share a duty out without speaking.
+func Chosen(members []Member, key flow.MemberKey, salt uint32, count int) bool {
+	own := mix(uint32(key), salt)
+	better := 0
+	found := false
+	for _, member := range members {
+		if member.Key == key {
+			found = true
+			continue
+		}
+		if mix(uint32(member.Key), salt) > own {
+			better++
+		}
+	}
+	return found && better < count
+}
--- /dev/null
+++ b/script/demo.sh
@@ -0,0 +1,67 @@
+#!/bin/sh
+# Runs one deployment on loopback: platform, fabric, backend servers, balancers and
+# callers, each as a process of its own. While requests go on, a backend server is
+# marked as leaving, a balancer leaves and another one is killed.
+set -eu
+deployment=${DEPLOYMENT:-horodis}
+flows=${FLOWS:-2000}
+span=${SPAN:-16}
+case "$deployment" in
+horodis) first=planning second=journal ;;
+hanji) first=line-feed second=spec-upload ;;
+*)
+	echo "demo: DEPLOYMENT is horodis or hanji" >&2
+	exit 2
+	;;
+esac
+out=out/demo-$deployment
+rm -rf "$out"
+mkdir -p "$out/logs"
+cp -r "examples/$deployment/published" "examples/$deployment/settings" "$out/"
+pids=""
+# start NAME COMMAND... runs a process in the background; its id is in $pid.
+start() {
+	name=$1
+	shift
+	"$@" >"$out/logs/$name.log" 2>&1 &
+	pid=$!
+	pids="$pids $pid"
+}
+finish() {
+	for one in $pids; do
+		kill "$one" 2>/dev/null || true
+	done
+	wait 2>/dev/null || true
+}
+trap finish EXIT
+start platform bin/wigeonlab platform -deployment "$deployment" -directory "$out/published"
+start fabric bin/wigeonlab fabric -deployment "$deployment"
+for number in $(seq 15); do start "$first-$number" bin/wigeonlab server -deployment "$deployment" -server "$first-$number"; done
+for number in $(seq 4); do start "$second-$number" bin/wigeonlab server -deployment "$deployment" -server "$second-$number"; done
+leaver="" victim=""
+for number in $(seq 8); do
+	start "entry-$number" bin/wigeond run -settings "$out/settings/$deployment-entry-$number.ini"
+	if [ "$number" = 3 ]; then leaver=$pid; fi
+	if [ "$number" = 6 ]; then victim=$pid; fi
+done
+sleep 4
+echo "demo: 8 balancers, 19 backend servers and the stand-ins run"
+start callers bin/wigeonlab call -deployment "$deployment" -flows "$flows" -span "${span}s"
+callers=$pid
+sleep 6
+bin/wigeonctl mark "$out/published" "$first-2" Leaving
+bin/wigeonlab publish -deployment "$deployment" -directory "$out/published"
+echo "demo: $first-2 is marked as leaving"
+sleep 1
+bin/wigeonlab instances -deployment "$deployment" -leaving 3
+kill -TERM "$leaver"
+echo "demo: balancer 3 leaves"
+sleep 1
+kill -KILL "$victim"
+echo "demo: balancer 6 is killed"
+sleep 1
+bin/wigeonlab instances -deployment "$deployment" -gone 3,6
+status=0
+wait "$callers" || status=$?
+cat "$out/logs/callers.log"
+exit $status
--- /dev/null
+++ b/wigeonlab/internal/stand/publish.go
@@ -0,0 +1,102 @@
+package stand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
+
+	"wigeonmoor.example/internal/config"
+	"wigeonmoor.example/internal/watch"
+)
+
+// Publish checks the values of a directory and puts those that differ from the
+// platform's on it, the index last, as an operator does.
+func Publish(ctx context.Context, platform netip.AddrPort, directory string) (config.Version, error) {
+	read, err := config.ReadDirectory(directory)
+	if err != nil {
+		return 0, err
+	}
+	documents, err := read.Read()
+	if err != nil {
+		return 0, err
+	}
+	previous, err := fetchBundle(ctx, platform)
+	if err != nil {
+		return 0, err
+	}
+	version := previous.Index.Version + 1
+	bundle, err := config.Render(*documents, previous, version)
+	if err != nil {
+		return 0, err
+	}
+	for _, value := range append(bundle.Values, bundle.Index) {
+		if value.Version != version {
+			continue
+		}
+		if err := put(ctx, platform, value); err != nil {
+			return 0, err
+		}
+	}
+	return version, nil
+}
+
+// fetchBundle reads what the platform holds. Values that Render writes in another
+// form are trimmed so that they compare equal.
+func fetchBundle(ctx context.Context, platform netip.AddrPort) (config.Bundle, error) {
+	reader := watch.NewReader("http://" + platform.String())
+	value, err := reader.Get(ctx, config.IndexName, 0, 0)
+	if err != nil {
+		return config.Bundle{}, err
+	}
+	index, err := config.Decode[config.Index](string(value.Name), value.Data)
+	if err != nil {
+		return config.Bundle{}, err
+	}
+	bundle := config.Bundle{Index: value}
+	for _, entry := range index.Values {
+		held, err := reader.Get(ctx, entry.Name, 0, 0)
+		if err != nil {
+			return config.Bundle{}, err
+		}
+		held.Data = bytes.TrimSpace(held.Data)
+		bundle.Values = append(bundle.Values, held)
+	}
+	return bundle, nil
+}
+
+// PublishInstances puts a fabric's list of balancers on the platform.
+func PublishInstances(ctx context.Context, platform netip.AddrPort, list config.Instances) error {
+	if len(list.Instances) == 0 {
+		return errors.New("publish instances: the list is empty")
+	}
+	data, err := json.MarshalIndent(list, "", "  ")
+	if err != nil {
+		return fmt.Errorf("publish instances: %w", err)
+	}
+	return put(ctx, platform, config.Value{Name: watch.InstancesName(list.Instances[0].Fabric), Data: data})
+}
+
+func put(ctx context.Context, platform netip.AddrPort, value config.Value) error {
+	address := "http://" + platform.String() + "/v1/values/" + string(value.Name)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, address, bytes.NewReader(value.Data))
+	if err != nil {
+		return fmt.Errorf("publish %s: %w", value.Name, err)
+	}
+	if value.Version > 0 {
+		request.Header.Set(watch.VersionHeader, strconv.FormatUint(uint64(value.Version), 10))
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("publish %s: %w", value.Name, err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("publish %s on %s: status %s", value.Name, platform, response.Status)
+	}
+	return nil
+}
