Placement by everybody's open flows, with a gain that follows the budget

Ruled out by a trial: a threshold on counts a second old (the backend server swings), the least loaded of all as the target (everybody picks the same one).

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -56,7 +56,7 @@
 	ConfigVersion config.Version
 	HeldSlots     int
 	Records       int64
-	Threshold     place.Ratio
+	Gain          place.Ratio
 	Incarnation   uint64
 }
 
@@ -134,7 +134,7 @@
 		Reader:    s.settings.Core.Reader(),
 		HeldSlots: s.settings.Core.HeldSlots(),
 		Records:   s.settings.Core.Records(),
-		Threshold: s.settings.Core.Placer().Threshold(),
+		Gain:      s.settings.Core.Placer().Gain(),
 	}
 	if compiled := s.settings.Core.Compiled(); compiled != nil {
 		status.ConfigVersion = compiled.Version
--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 
@@ -73,6 +74,8 @@
 		compiled.byAddress[Address{service.Protocol, service.Address}] = service
 		compiled.byKey[service.Key] = service
 	}
+	// Balancers that got the values in another order must agree on this one.
+	slices.SortFunc(compiled.Services, func(a, b *CompiledService) int { return cmp.Compare(a.Key, b.Key) })
 	return compiled, nil
 }
 
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -22,6 +22,9 @@
 // adaptPeriod is how often the placement threshold follows the budget.
 const adaptPeriod = time.Second
 
+// removalFlowBytes is what the removal of one exception costs for each replica.
+const removalFlowBytes = 4
+
 // Bounds of the load reports that are passed on.
 const (
 	maxFetched = 64
@@ -41,7 +44,8 @@
 	c.applyEvents()
 	c.refreshLease()
 	c.refill(now)
-	c.adaptThreshold(now)
+	c.tellCounts(now)
+	c.adaptGain(now)
 	c.offer()
 	c.askForConfig(now)
 	c.driveClaim(now)
@@ -59,6 +63,9 @@
 		c.Counters.DroppedStranger.Add(1)
 		return c.finish()
 	}
+	if probe.Kind == wire.ProbeKind_PROBE_KIND_COUNTS {
+		c.takeCounts(probe)
+	}
 	for _, load := range probe.Loads {
 		c.heardLoad(load)
 	}
@@ -354,16 +361,19 @@
 	}
 }
 
-// adaptThreshold lets the placement threshold follow the control traffic.
-func (c *Core) adaptThreshold(now time.Time) {
+// adaptGain lets the placement's gain follow the control traffic. An exception is
+// charged with its removal, which it causes but which comes later.
+func (c *Core) adaptGain(now time.Time) {
 	if now.Sub(c.lastAdapt) < adaptPeriod {
 		return
 	}
-	total := c.Counters.ControlBytes.Load()
-	spent := float64(total - c.spentAtAdapt)
-	allowed := float64(c.settings.ControlBytesPerSecond) * now.Sub(c.lastAdapt).Seconds()
-	c.placer.Adapt(spent, allowed)
+	total := c.Counters.ControlBytes.Load() - c.removalBytes
+	exceptions := c.Counters.Exceptions.Load()
+	spent := float64(total-c.spentAtAdapt) + float64(exceptions-c.exceptionsAtAdapt)*removalFlowBytes*ring.ReplicaCount
+	seconds := now.Sub(c.lastAdapt).Seconds()
+	c.placer.Adapt(spent/seconds, float64(c.settings.ControlBytesPerSecond), c.countsAge())
 	c.spentAtAdapt = total
+	c.exceptionsAtAdapt = exceptions
 	c.lastAdapt = now
 }
 
@@ -434,9 +444,11 @@
 		return
 	}
 	c.nextRemoval = now.Add(removalPeriod)
+	before := c.Counters.ControlBytes.Load()
 	for _, replica := range sortedKeys(c.removals) {
 		c.post(replica, &wire.Envelope{Body: &wire.Envelope_Removal{Removal: &wire.Removal{Flows: c.removals[replica]}}})
 	}
+	c.removalBytes += c.Counters.ControlBytes.Load() - before
 	clear(c.removals)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -245,27 +245,33 @@
 	startedAt time.Time
 
 	// All below belongs to the control goroutine.
-	parser        *packet.Parser
-	output        Output
-	history       []*config.Compiled
-	leaving       bool
-	claim         *claim
-	lastID        uint64
-	syncs         map[uint64]*syncing
-	rebases       map[uint64]*rebase
-	removals      map[flow.MemberKey][]uint32
-	fetched       []fetchedReport
-	lives         map[flow.MemberKey]uint64
-	reborn        map[flow.MemberKey]bool
-	sweepNext     int
-	lastRefill    time.Time
-	lastAdapt     time.Time
-	spentAtAdapt  int64
-	nextConfigAsk time.Time
-	nextRemoval   time.Time
-	lastMisplaced time.Time
-	lastSync      time.Time
-	lastRebase    time.Time
+	parser       *packet.Parser
+	output       Output
+	history      []*config.Compiled
+	leaving      bool
+	claim        *claim
+	lastID       uint64
+	syncs        map[uint64]*syncing
+	rebases      map[uint64]*rebase
+	removals     map[flow.MemberKey][]uint32
+	fetched      []fetchedReport
+	lives        map[flow.MemberKey]uint64
+	reborn       map[flow.MemberKey]bool
+	sweepNext    int
+	lastRefill   time.Time
+	lastAdapt    time.Time
+	spentAtAdapt int64
+	removalBytes int64
+	// counts holds what others told of their open flows, told what they were told.
+	counts            map[flow.MemberKey]toldCounts
+	told              map[flow.ServiceKey][]int64
+	nextCounts        time.Time
+	exceptionsAtAdapt int64
+	nextConfigAsk     time.Time
+	nextRemoval       time.Time
+	lastMisplaced     time.Time
+	lastSync          time.Time
+	lastRebase        time.Time
 }
 
 // New returns a core that knows neither configuration nor other balancers.
@@ -283,6 +289,7 @@
 		rebases:    make(map[uint64]*rebase),
 		removals:   make(map[flow.MemberKey][]uint32),
 		lives:      make(map[flow.MemberKey]uint64),
+		counts:     make(map[flow.MemberKey]toldCounts),
 		reborn:     make(map[flow.MemberKey]bool),
 		lastRefill: now,
 		lastAdapt:  now,
--- a/internal/core/slot.go
+++ b/internal/core/slot.go
@@ -97,6 +97,9 @@
 func (c *Core) recount(before flow.Record, wasKnown bool, after flow.Record, isKnown bool) {
 	counts := wasKnown && counted(before)
 	willCount := isKnown && counted(after)
+	if counts && isKnown && after.State == flow.Closed {
+		c.placer.Closed()
+	}
 	if counts == willCount && before.Backend == after.Backend {
 		return
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -500,6 +500,22 @@
 	return keys
 }
 
+// TellCounts sends open flows to every other balancer that is ready.
+func (m *Members) TellCounts(counts []int32) {
+	for _, peer := range m.Peers() {
+		if !peer.Ready || !peer.Reachable() {
+			continue
+		}
+		probe := &wire.Probe{
+			Kind:          wire.ProbeKind_PROBE_KIND_COUNTS,
+			From:          uint32(m.key),
+			ConfigVersion: uint64(m.version),
+			Counts:        counts,
+		}
+		m.messages = append(m.messages, Message{To: peer.Instance.Address, Probe: probe})
+	}
+}
+
 // Handle takes a probe from the network. Senders that are not on the platform's
 // list are refused.
 func (m *Members) Handle(probe *wire.Probe) (accepted bool) {
--- a/internal/model/caller.go
+++ b/internal/model/caller.go
@@ -51,6 +51,8 @@
 	Service config.Service
 	// Life is how long a flow stays open; zero leaves it open.
 	Life time.Duration
+	// Skewed draws each flow's life from an exponential distribution around Life.
+	Skewed bool
 	// Talk is the time between two requests of a flow; zero is silence.
 	Talk time.Duration
 }
@@ -248,10 +250,17 @@
 	flow.serverISN = serverISN
 	c.talk(flow)
 	if flow.line.Life > 0 {
-		c.settings.Loop.After(flow.line.Life, func() { c.finish(flow, 0) })
+		c.settings.Loop.After(c.lifeOf(flow.line), func() { c.finish(flow, 0) })
 	}
 }
 
+func (c *Callers) lifeOf(line Line) time.Duration {
+	if !line.Skewed {
+		return line.Life
+	}
+	return time.Duration(c.settings.Random.ExpFloat64() * float64(line.Life))
+}
+
 func (c *Callers) answered(flow *caller, payload []byte) {
 	if len(payload) < requestBytes || binary.BigEndian.Uint64(payload) != flow.waiting {
 		return
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -361,3 +361,8 @@
 	}
 	return total
 }
+
+// Lives returns how often the balancer has been started.
+func (n *Node) Lives() int {
+	return n.life
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -1,20 +1,26 @@
 // Package place chooses backend servers for new flows.
 //
 // A flow goes to its slot's default unless that backend server has more than its
-// share of the flows that this balancer owns, by a threshold; then it goes to the
-// less loaded of two others and becomes an exception, which has to be
-// replicated. The threshold follows the control budget: it rises while
-// exceptions cost more than their part of it and falls while they cost less.
+// share of open flows. Then the flow leaves the default with a probability of the
+// excess times a gain, for the less loaded of two others, and becomes an
+// exception, which has to be replicated. The gain follows the control budget.
 //
-// A balancer counts its own flows only. Slots are spread over balancers at random,
-// so parts that are even each add up to an even whole, without a byte of load
-// exchanged. Backend servers' reports were rejected as the main measure: they
-// lag, and every balancer that follows them picks the same server at once. They
-// correct the choice where they can be trusted: a shedding or unhealthy server is
-// avoided for as long as its report is fresh.
+// Load is what all balancers of the fabric have open: the own flows as they are,
+// the others' as they were told up to a quarter of a second ago. Leaving the
+// default whenever it is over its share was rejected: all balancers act on the
+// same old numbers, and the backend server swings between too much and too
+// little. The gain is therefore also bounded by the mean life of a flow over the
+// age of the numbers. Where telling counts is too dear, as with a thousand backend
+// servers, a balancer goes by its own flows: slots are spread at random, so even
+// parts add up to an even whole.
+//
+// Backend servers' own reports were rejected as the measure of load: they lag by
+// seconds. They do keep flows from a backend server that reports shedding or
+// being unhealthy, for as long as the report is fresh.
 package place
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -27,18 +33,25 @@
 // Ratio is a share or excess, for example 0.02 for 2 %.
 type Ratio float64
 
-// Bounds of the threshold, and of trust in load reports.
+// Bounds of the gain, and of trust in reports and counts.
 const (
-	minThreshold     Ratio = 0.002
-	maxThreshold     Ratio = 1
-	startThreshold   Ratio = 0.02
-	thresholdRise    Ratio = 1.3
-	thresholdFall    Ratio = 0.93
-	reportLife             = 5 * time.Second
-	rateWindow             = time.Second
-	minRamp          Ratio = 0.05
-	exceptionPortion       = 0.8
-	lowPortion             = 0.65
+	minGain     Ratio = 0.25
+	maxGain     Ratio = 60
+	startGain   Ratio = 5
+	gainRise    Ratio = 1.07
+	gainFall    Ratio = 0.8
+	reportLife        = 5 * time.Second
+	othersLife        = 3 * time.Second
+	rateWindow        = time.Second
+	minRamp     Ratio = 0.05
+	highPortion       = 0.95
+	lowPortion        = 0.8
+	closeSmooth       = 0.2
+	// followShare is how far the change of the own flows since they were last told
+	// is taken to be everybody's.
+	followShare Ratio = 0.15
+	// minMean is the mean below which a difference of one flow is no imbalance.
+	minMean Ratio = 4
 )
 
 // Reason says why a flow went where it did.
@@ -135,13 +148,25 @@
 
 // Placer chooses for one balancer. Choose may be called from any goroutine.
 type Placer struct {
-	mutex     sync.Mutex
-	gauges    map[flow.BackendKey]*Gauge
-	random    *rand.Rand
-	threshold Ratio
-	services  atomic.Pointer[gaugeTable]
-	// HashOnly turns load-aware exceptions off, as the measured baseline.
+	mutex    sync.Mutex
+	gauges   map[flow.BackendKey]*Gauge
+	random   *rand.Rand
+	services atomic.Pointer[gaugeTable]
+	others   atomic.Pointer[others]
+	// gain is a Ratio's bits, hashOnly turns exceptions for load off.
+	gain     atomic.Uint64
 	hashOnly bool
+	budget   Ratio
+	closed   atomic.Int64
+	closing  float64
+}
+
+// others is what the other balancers have open, by service and backend index.
+type others struct {
+	at       time.Time
+	balancer int
+	open     map[flow.ServiceKey][]int64
+	told     map[flow.ServiceKey][]int64
 }
 
 // gaugeTable lists the gauges of each service by backend index.
@@ -159,11 +184,12 @@
 // New returns a placer without services.
 func New(settings Config) *Placer {
 	p := &Placer{
-		gauges:    make(map[flow.BackendKey]*Gauge),
-		random:    settings.Rand,
-		threshold: startThreshold,
-		hashOnly:  settings.HashOnly,
+		gauges:   make(map[flow.BackendKey]*Gauge),
+		random:   settings.Rand,
+		hashOnly: settings.HashOnly,
+		budget:   startGain,
 	}
+	p.setGain(startGain)
 	p.services.Store(&gaugeTable{})
 	return p
 }
@@ -209,23 +235,62 @@
 	return row[backend.Index]
 }
 
-// Threshold returns the excess from which a default is left.
-func (p *Placer) Threshold() Ratio {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.threshold
+// Gain returns the factor between a default's excess and the probability that a
+// new flow leaves it.
+func (p *Placer) Gain() Ratio {
+	return Ratio(math.Float64frombits(p.gain.Load()))
 }
 
-// Adapt moves the threshold by the control bytes spent and allowed in a period.
-func (p *Placer) Adapt(spent, allowed float64) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+func (p *Placer) setGain(gain Ratio) {
+	p.gain.Store(math.Float64bits(float64(gain)))
+}
+
+// Closed counts a flow that has ended, from which the mean life follows.
+func (p *Placer) Closed() {
+	p.closed.Add(1)
+}
+
+// Adapt moves the gain by the control bytes spent and allowed in a second. Age is
+// how old the others' counts get, zero if they are not told.
+func (p *Placer) Adapt(spent, allowed float64, age time.Duration) {
 	switch {
-	case spent > exceptionPortion*allowed:
-		p.threshold = min(p.threshold*thresholdRise, maxThreshold)
+	case spent > highPortion*allowed:
+		p.budget = max(p.budget*gainFall, minGain)
 	case spent < lowPortion*allowed:
-		p.threshold = max(p.threshold*thresholdFall, minThreshold)
+		p.budget = min(p.budget*gainRise, maxGain)
 	}
+	p.closing += closeSmooth * (float64(p.closed.Swap(0)) - p.closing)
+	gain := p.budget
+	if age > 0 && p.closing > 0 {
+		life := float64(p.openFlows()) / p.closing
+		gain = min(gain, max(minGain, Ratio(life/age.Seconds())))
+	}
+	p.setGain(gain)
+}
+
+func (p *Placer) openFlows() int64 {
+	var open int64
+	for _, row := range p.services.Load().gauges {
+		for _, gauge := range row {
+			open += gauge.Open()
+		}
+	}
+	return open
+}
+
+// Open returns the own open flows of a service by backend index.
+func (p *Placer) Open(service *config.CompiledService) []int64 {
+	row := p.services.Load().gauges[service.Key]
+	open := make([]int64, len(row))
+	for index, gauge := range row {
+		open[index] = gauge.Open()
+	}
+	return open
+}
+
+// SetOthers takes what other balancers have open, and what this one told them.
+func (p *Placer) SetOthers(balancers int, open, told map[flow.ServiceKey][]int64) {
+	p.others.Store(&others{at: time.Now(), balancer: balancers, open: open, told: told})
 }
 
 // Request asks for the backend server of a new flow.
@@ -253,7 +318,7 @@
 	if reason == ReasonDefault {
 		return Choice{chosen, ReasonDefault}
 	}
-	other := p.lessLoaded(request, chosen, now)
+	other := p.lessLoaded(request, chosen, reason, now)
 	if other != nil {
 		return Choice{other, reason}
 	}
@@ -287,7 +352,7 @@
 	if !p.ramped(service, gauge, request.Flow, now) {
 		return ReasonColdStart
 	}
-	if p.overShare(service, chosen, gauge) {
+	if p.overShare(service, chosen, now) {
 		return ReasonLoad
 	}
 	return p.admitted(service, gauge, now)
@@ -321,32 +386,75 @@
 	return min(1, max(minRamp, Ratio(age)/Ratio(service.ColdStart)))
 }
 
-// overShare compares a backend server with the mean of its service by weight.
-func (p *Placer) overShare(service *config.CompiledService, chosen *config.CompiledBackend, gauge *Gauge) bool {
-	row := p.services.Load().gauges[service.Key]
-	var open, weight int64
+// loads are the estimated open flows of a service's backend servers.
+type loads struct {
+	gauges []*Gauge
+	others []int64
+	told   []int64
+	follow Ratio
+}
+
+// loadsOf gathers the numbers that an estimate needs, without the others' if they
+// are old or of another configuration.
+func (p *Placer) loadsOf(service *config.CompiledService, now time.Time) loads {
+	result := loads{gauges: p.services.Load().gauges[service.Key]}
+	told := p.others.Load()
+	if told == nil || now.Sub(told.at) > othersLife || len(told.open[service.Key]) != len(result.gauges) {
+		return result
+	}
+	result.others = told.open[service.Key]
+	if len(told.told[service.Key]) == len(result.gauges) {
+		result.told = told.told[service.Key]
+		result.follow = followShare * Ratio(told.balancer)
+	}
+	return result
+}
+
+// at estimates the open flows of the backend server with an index.
+func (l loads) at(index int) Ratio {
+	own := l.gauges[index].Open()
+	estimate := Ratio(own)
+	if l.others != nil {
+		estimate += Ratio(l.others[index])
+	}
+	if l.told != nil {
+		estimate += l.follow * Ratio(own-l.told[index])
+	}
+	return estimate
+}
+
+// overShare reports whether a flow leaves its default for its load.
+func (p *Placer) overShare(service *config.CompiledService, chosen *config.CompiledBackend, now time.Time) bool {
+	numbers := p.loadsOf(service, now)
+	var open, weight Ratio
 	for _, target := range service.Targets() {
-		backend := service.ByKey(target.Backend)
-		open += row[backend.Index].Open()
-		weight += int64(target.Weight)
+		open += numbers.at(service.ByKey(target.Backend).Index)
+		weight += Ratio(target.Weight)
 	}
-	share := Ratio(open) * Ratio(chosen.Weight) / Ratio(weight)
-	// One flow over the mean is no imbalance, however small the mean is.
-	return Ratio(gauge.Open()) > share*(1+p.Threshold())+1
+	share := open * Ratio(chosen.Weight) / weight
+	excess := (numbers.at(chosen.Index) - share) / max(share, minMean)
+	if excess <= 0 {
+		return false
+	}
+	return p.randomRatio() < p.Gain()*excess
 }
 
 // lessLoaded returns the less loaded of two random backend servers that can take
 // a new flow, nil if there is none.
-func (p *Placer) lessLoaded(request Request, except *config.CompiledBackend, now time.Time) *config.CompiledBackend {
+func (p *Placer) lessLoaded(request Request, except *config.CompiledBackend, reason Reason, now time.Time) *config.CompiledBackend {
 	service := request.Service
 	best := p.randomOpen(request, now, except, nil)
 	if best == nil {
 		return nil
 	}
+	numbers := p.loadsOf(service, now)
 	second := p.randomOpen(request, now, except, best)
-	if second != nil && p.load(service, second) < p.load(service, best) {
+	if second != nil && numbers.byWeight(second) < numbers.byWeight(best) {
 		best = second
 	}
+	if reason == ReasonLoad && numbers.byWeight(best) >= numbers.byWeight(except) {
+		return nil
+	}
 	if p.admitted(service, p.GaugeOf(service, best), now) != ReasonDefault {
 		return nil
 	}
@@ -383,8 +491,14 @@
 	return !p.full(service, gauge) && p.ramped(service, gauge, id, now)
 }
 
-func (p *Placer) load(service *config.CompiledService, backend *config.CompiledBackend) Ratio {
-	return Ratio(p.GaugeOf(service, backend).Open()) / Ratio(backend.Weight)
+func (l loads) byWeight(backend *config.CompiledBackend) Ratio {
+	return l.at(backend.Index) / Ratio(backend.Weight)
+}
+
+func (p *Placer) randomRatio() Ratio {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return Ratio(p.random.Float64())
 }
 
 func (p *Placer) randomIndex(count int) int {
