A process without a lease no longer adopts flows

Cause: a balancer that was paused and woke took packets of flows that had opened meanwhile for flows on their slot's default, and their backend server reset them. Ruled out: the placement of new flows, which the lease already covered. Change: unknown flows and first packets need the lease; without it the packet goes to the slot's first replica in the old view, which knows the new owner.

--- a/internal/core/traffic.go
+++ b/internal/core/traffic.go
@@ -207,6 +207,10 @@
 		// What was remembered as a replica or ingress now is this owner's.
 		record = c.own(p, record)
 	}
+	if (!known || p.packet.First) && !c.mayDecide(p.now) {
+		c.yield(p)
+		return
+	}
 	switch {
 	case !known && (p.packet.First || p.service.Protocol == flow.UDP):
 		c.placeNew(p)
@@ -219,6 +223,20 @@
 	}
 }
 
+// yield hands a packet to a balancer that may decide for it. Without a lease this
+// process may have been paused, another may own the slot, and even a flow that is
+// not on record may have been placed there.
+func (c *Core) yield(p *passage) {
+	for _, replica := range p.view.owners[p.number].Replicas {
+		if p.view.peers[replica].reachable && p.hops < maxHops {
+			c.handOver(p, replica)
+			return
+		}
+	}
+	c.Counters.DroppedLease.Add(1)
+	c.logFlow("route: packet dropped", p, nil, "lease has run out")
+}
+
 // own turns a remembered record into an owned one.
 func (c *Core) own(p *passage, record flow.Record) flow.Record {
 	record.Kind = flow.Exception
@@ -312,11 +330,6 @@
 
 // placeNew decides for a flow that nobody has decided for.
 func (c *Core) placeNew(p *passage) {
-	if !c.mayDecide(p.now) {
-		c.Counters.DroppedLease.Add(1)
-		c.logFlow("route: packet dropped", p, nil, "lease has run out")
-		return
-	}
 	base := p.slot.base(p.service, p.number)
 	choice := c.placer.Choose(place.Request{
 		Service:     p.service,
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -366,3 +366,8 @@
 func (n *Node) Lives() int {
 	return n.life
 }
+
+// Alive reports whether the balancer's process runs.
+func (n *Node) Alive() bool {
+	return n.alive
+}
