Scenario language, and ownership that two claimants cannot both take

Cause: scenarios/everything-twice broke 3 flows. Two balancers that joined at once each claimed a slot before either had heard that the other was ready, and both held it; and the next owner of a slot, named by a new view, dropped its own knowledge of the slot before its claim began, as if it were no replica any more. Ruled out, by following one slot's base through a run: the reference versions of transferred defaults, and late configuration. Change: a balancer that holds or claims a slot keeps it against a claimant that comes later in the slot's order; one that comes earlier gets all that was granted so far; grants that arrive late are passed on. The next owner keeps what it knows. Conclusion: views only route, and grants decide.

--- a/internal/core/claim.go
+++ b/internal/core/claim.go
@@ -94,20 +94,49 @@
 	if reference != nil {
 		reply.ConfigVersion = uint64(reference.Version)
 	}
-	holders := c.view.Load().owners
+	var kept []flow.Slot
 	for _, number := range slotsOf(message.Slots) {
 		s := &c.slots[number]
 		s.mutex.Lock()
-		state := c.encode(s, number, reference)
-		if state.Coverage != wire.Coverage_COVERAGE_NONE || len(state.Flows) > 0 {
-			reply.Slots = append(reply.Slots, state)
+		if c.keeps(s, number, from) {
+			kept = append(kept, number)
+		} else {
+			c.tell(s, number, reference, reply)
 		}
-		c.grant(s, holders[number])
 		s.mutex.Unlock()
 	}
+	if len(kept) > 0 {
+		reply.Kept = slotBits(kept)
+	}
 	c.post(from, &wire.Envelope{Body: &wire.Envelope_ClaimReply{ClaimReply: reply}})
 }
 
+// keeps reports whether this balancer holds or claims the slot itself and comes
+// before the claimant, which then does not know yet that this one is ready. The
+// slot is locked.
+func (c *Core) keeps(s *slot, number flow.Slot, claimant flow.MemberKey) bool {
+	return (s.held || s.claiming) && c.members.Ready() && ring.Outranks(c.key, claimant, number)
+}
+
+// tell adds what this balancer knows of a slot to a reply, and gives the slot up.
+// What a claim of its own has been granted meanwhile is passed on. The slot is
+// locked.
+func (c *Core) tell(s *slot, number flow.Slot, reference *config.Compiled, reply *wire.ClaimReply) {
+	coverage := s.coverage()
+	if s.claiming && c.claim != nil {
+		coverage = max(coverage, c.claim.covered[number])
+	}
+	state := c.encode(s, number, coverage, reference)
+	if coverage != wire.Coverage_COVERAGE_NONE || len(state.Flows) > 0 {
+		reply.Slots = append(reply.Slots, state)
+	}
+	if s.claiming {
+		s.claiming = false
+		c.requeue(s)
+	}
+	c.grant(s, c.view.Load().owners[number])
+}
+
 // grant gives a held slot up. The slot is locked.
 func (c *Core) grant(s *slot, holders ring.Holders) {
 	if !s.held {
@@ -124,6 +153,7 @@
 func (c *Core) takeReply(from flow.MemberKey, reply *wire.ClaimReply) {
 	reference := c.compiledAt(config.Version(reply.ConfigVersion))
 	current := c.claim != nil && c.claim.id == reply.Claim
+	var stray []flow.Slot
 	for _, state := range reply.Slots {
 		if state.Slot >= flow.SlotCount {
 			c.Counters.DroppedMalform.Add(1)
@@ -138,15 +168,69 @@
 			c.claim.covered[number] = max(c.claim.covered[number], state.Coverage)
 		} else if s.held && state.Coverage == wire.Coverage_COVERAGE_HELD {
 			c.mergeState(s, state, reference, false)
+		} else if state.Coverage == wire.Coverage_COVERAGE_HELD {
+			stray = append(stray, flow.Slot(state.Slot))
+			c.takeStray(s, state, reference)
 		}
 		s.mutex.Unlock()
 	}
+	c.passOn(stray)
 	if current {
+		c.yieldSlots(slotsOf(reply.Kept))
 		delete(c.claim.waiting, from)
 		c.driveClaim(time.Now())
 	}
 }
 
+// takeStray keeps a grant that arrives after this balancer has given the slot up,
+// as a former owner would. The slot is locked.
+func (c *Core) takeStray(s *slot, state *wire.SlotState, reference *config.Compiled) {
+	c.mergeState(s, state, reference, true)
+	s.former = true
+}
+
+// passOn sends stray grants to the slots' owners in the view.
+func (c *Core) passOn(stray []flow.Slot) {
+	owners := c.view.Load().owners
+	replies := make(map[flow.MemberKey]*wire.ClaimReply)
+	for _, number := range stray {
+		owner := owners[number].Owner
+		if owner == 0 || owner == c.key {
+			// The next claim, this balancer's or another's, finds the records here.
+			continue
+		}
+		s := &c.slots[number]
+		s.mutex.Lock()
+		addState(replies, owner, c.encode(s, number, wire.Coverage_COVERAGE_HELD, nil))
+		s.mutex.Unlock()
+	}
+	c.postReplies(replies)
+}
+
+func addState(replies map[flow.MemberKey]*wire.ClaimReply, to flow.MemberKey, state *wire.SlotState) {
+	if replies[to] == nil {
+		replies[to] = &wire.ClaimReply{}
+	}
+	replies[to].Slots = append(replies[to].Slots, state)
+}
+
+func (c *Core) postReplies(replies map[flow.MemberKey]*wire.ClaimReply) {
+	for _, to := range sortedKeys(replies) {
+		c.post(to, &wire.Envelope{Body: &wire.Envelope_ClaimReply{ClaimReply: replies[to]}})
+	}
+}
+
+// yieldSlots takes slots out of the claim that another balancer keeps. Packets wait
+// until this one's view names the other as their owner.
+func (c *Core) yieldSlots(kept []flow.Slot) {
+	for _, number := range kept {
+		s := &c.slots[number]
+		s.mutex.Lock()
+		s.claiming = false
+		s.mutex.Unlock()
+	}
+}
+
 // mergeState adds the records of another balancer to a slot. If it knows better
 // than all before, its bases and records go first. The slot is locked.
 func (c *Core) mergeState(s *slot, state *wire.SlotState, reference *config.Compiled, better bool) {
@@ -212,6 +296,11 @@
 	for _, number := range ended.slots {
 		s := &c.slots[number]
 		s.mutex.Lock()
+		if !s.claiming {
+			// Given up to a balancer that comes before this one.
+			s.mutex.Unlock()
+			continue
+		}
 		coverage := ended.covered[number]
 		c.hold(s, number, now, coverage)
 		if coverage == wire.Coverage_COVERAGE_NONE {
@@ -282,19 +371,12 @@
 		s := &c.slots[index]
 		s.mutex.Lock()
 		if s.held {
-			reply := replies[owner]
-			if reply == nil {
-				reply = &wire.ClaimReply{}
-				replies[owner] = reply
-			}
-			reply.Slots = append(reply.Slots, c.encode(s, flow.Slot(index), nil))
+			addState(replies, owner, c.encode(s, flow.Slot(index), wire.Coverage_COVERAGE_HELD, nil))
 			c.grant(s, v.owners[index])
 		}
 		s.mutex.Unlock()
 	}
-	for _, owner := range sortedKeys(replies) {
-		c.post(owner, &wire.Envelope{Body: &wire.Envelope_ClaimReply{ClaimReply: replies[owner]}})
-	}
+	c.postReplies(replies)
 }
 
 const bitsPerByte = 8
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -49,6 +49,7 @@
 	c.offer()
 	c.askForConfig(now)
 	c.driveClaim(now)
+	c.reclaim(now)
 	c.driveSyncs(now)
 	c.driveRebases(now)
 	c.pushGrants(now)
@@ -293,12 +294,13 @@
 		if holders.Owner == c.key && !s.held {
 			wanted = append(wanted, number)
 		}
-		if holders.Owner != c.key && s.claiming {
+		if holders.Owner != c.key && !s.held {
 			s.claiming = false
 			c.requeue(s)
 		}
-		if !s.held && !holders.Includes(c.key) {
+		if !s.held && !s.claiming && !s.former && holders.Owner != c.key && !holders.Includes(c.key) {
 			s.synced = false
+			s.cells = nil
 		}
 		c.keepSynced(s, holders)
 		s.mutex.Unlock()
@@ -306,6 +308,15 @@
 	c.startClaim(wanted)
 }
 
+// reclaim claims slots that another balancer kept and then lost.
+func (c *Core) reclaim(now time.Time) {
+	if c.claim != nil || now.Before(c.nextReclaim) {
+		return
+	}
+	c.nextReclaim = now.Add(reclaimPeriod)
+	c.reviewSlots()
+}
+
 // isReader chooses the failure domain's readers. A balancer that is not ready yet
 // reads for itself.
 func (c *Core) isReader(ready []ring.Member) bool {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,6 +56,7 @@
 	// balancers that knew the slot's exceptions were lost.
 	DoubtLimit         = 10 * time.Second
 	claimRetry         = 200 * time.Millisecond
+	reclaimPeriod      = 500 * time.Millisecond
 	configRetry        = 400 * time.Millisecond
 	grantPushAfter     = 2 * time.Second
 	removalPeriod      = 2 * time.Second
@@ -270,6 +271,7 @@
 	nextConfigAsk     time.Time
 	nextRemoval       time.Time
 	lastMisplaced     time.Time
+	nextReclaim       time.Time
 	lastSync          time.Time
 	lastRebase        time.Time
 }
--- /dev/null
+++ b/internal/core/scenario_test.go
@@ -0,0 +1,331 @@
+package core_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"wigeonmoor.example/internal/config"
+	"wigeonmoor.example/internal/logs"
+	"wigeonmoor.example/internal/model"
+	"wigeonmoor.example/internal/ring"
+)
+
+var (
+	scenarioFiles = flag.String("scenarios", "../../scenarios/*.txtar", "files of the scenarios to run")
+	scenarioLog   = flag.Bool("scenariolog", false, "print the balancers' log lines")
+	rapidDefault  = "25"
+)
+
+func TestMain(m *testing.M) {
+	// The properties take about a second a check; make properties asks for more.
+	if err := flag.Set("rapid.checks", rapidDefault); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
+// bubble lets testscript run a script inside a synctest bubble, where it may not
+// start subtests.
+type bubble struct{ *testing.T }
+
+func (b bubble) Run(_ string, f func(testscript.T)) { f(b) }
+func (b bubble) Parallel()                          {}
+func (b bubble) Verbose() bool                      { return testing.Verbose() }
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob(*scenarioFiles)
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios in %s: %v", *scenarioFiles, err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				stage := &stage{}
+				testscript.RunT(bubble{t}, testscript.Params{
+					Files: []string{file},
+					Cmds:  stage.verbs(),
+				})
+			})
+		})
+	}
+}
+
+// stage is what a scenario's verbs act on.
+type stage struct {
+	settings  model.Config
+	fleet     model.FleetConfig
+	bench     *model.Bench
+	documents config.Documents
+	marks     map[string]time.Time
+}
+
+type verb = func(ts *testscript.TestScript, neg bool, args []string)
+
+// verbs are the words of the scenario language; see docs/SCENARIOS.md.
+func (s *stage) verbs() map[string]verb {
+	node := func(act func(*model.Node)) verb {
+		return func(ts *testscript.TestScript, _ bool, args []string) {
+			for _, name := range args {
+				found := s.bench.Node(name)
+				if found == nil {
+					ts.Fatalf("no balancer %q", name)
+				}
+				act(found)
+			}
+		}
+	}
+	return map[string]verb{
+		"fleet":    s.startFleet,
+		"open":     s.open,
+		"run":      s.run,
+		"crash":    node(func(n *model.Node) { s.bench.Kill(n) }),
+		"restart":  node(func(n *model.Node) { s.bench.Start(n) }),
+		"leave":    node(func(n *model.Node) { s.bench.Leave(n) }),
+		"freeze":   node(func(n *model.Node) { s.bench.Freeze(n) }),
+		"thaw":     node(func(n *model.Node) { s.bench.Thaw(n) }),
+		"stale":    node(func(n *model.Node) { n.Stale = true }),
+		"start":    s.start,
+		"cut":      s.cut,
+		"heal":     func(*testscript.TestScript, bool, []string) { s.bench.Heal() },
+		"platform": s.platform,
+		"publish":  s.publish,
+		"halt":     s.halt,
+		"ask":      func(*testscript.TestScript, bool, []string) { s.bench.Callers.Ask() },
+		"mark":     func(_ *testscript.TestScript, _ bool, args []string) { s.marks[args[0]] = time.Now() },
+		"expect":   s.expect,
+	}
+}
+
+func number(ts *testscript.TestScript, text string) int {
+	value, err := strconv.Atoi(text)
+	ts.Check(err)
+	return value
+}
+
+func span(ts *testscript.TestScript, text string) time.Duration {
+	value, err := time.ParseDuration(text)
+	ts.Check(err)
+	return value
+}
+
+// options reads Key=value arguments.
+func options(ts *testscript.TestScript, args []string) map[string]string {
+	values := make(map[string]string)
+	for _, argument := range args {
+		key, value, found := strings.Cut(argument, "=")
+		if !found {
+			ts.Fatalf("%q is not Key=value", argument)
+		}
+		values[key] = value
+	}
+	return values
+}
+
+func (s *stage) startFleet(ts *testscript.TestScript, _ bool, args []string) {
+	s.fleet = model.TimerFleet()
+	s.settings = model.Config{Seed: 1, Delay: hopDelay, ControlBytesPerSecond: controlBytes, Log: logr.Discard()}
+	for key, value := range options(ts, args) {
+		switch key {
+		case "Balancers":
+			s.fleet.Balancers = number(ts, value)
+		case "Domains":
+			s.fleet.Domains = number(ts, value)
+		case "Seed":
+			s.settings.Seed = uint64(number(ts, value))
+		case "Idle":
+			s.fleet.IdleTimeout = span(ts, value)
+		case "LossPercent":
+			s.settings.Loss = float64(number(ts, value)) / 100
+		default:
+			ts.Fatalf("fleet: unknown key %q", key)
+		}
+	}
+	if *scenarioLog {
+		s.settings.Log = logs.New(os.Stdout)
+	}
+	s.documents = s.fleet.Documents()
+	s.settings.Instances = s.fleet.Instances()
+	s.settings.Documents = s.documents
+	s.marks = make(map[string]time.Time)
+	bench, err := model.New(s.settings)
+	ts.Check(err)
+	s.bench = bench
+	bench.Run(5 * time.Second)
+}
+
+func (s *stage) service(ts *testscript.TestScript, name string) *config.Service {
+	for index := range s.documents.Services {
+		if s.documents.Services[index].Name == name {
+			return &s.documents.Services[index]
+		}
+	}
+	ts.Fatalf("no service %q", name)
+	return nil
+}
+
+// open SERVICE COUNT [Over=1s] [Talk=5s] [Life=0s]
+func (s *stage) open(ts *testscript.TestScript, _ bool, args []string) {
+	line := model.Line{Service: *s.service(ts, args[0])}
+	over := time.Second
+	for key, value := range options(ts, args[2:]) {
+		switch key {
+		case "Over":
+			over = span(ts, value)
+		case "Talk":
+			line.Talk = span(ts, value)
+		case "Life":
+			line.Life = span(ts, value)
+		default:
+			ts.Fatalf("open: unknown key %q", key)
+		}
+	}
+	s.bench.Callers.StartMany(number(ts, args[1]), over, line)
+}
+
+func (s *stage) run(ts *testscript.TestScript, _ bool, args []string) {
+	s.bench.Run(span(ts, args[0]))
+}
+
+// start NUMBER... starts new balancers beyond the first ones.
+func (s *stage) start(ts *testscript.TestScript, _ bool, args []string) {
+	for _, argument := range args {
+		s.bench.Add(s.fleet.Instance(number(ts, argument) - 1))
+	}
+}
+
+// cut ONE OTHER... separates failure domains or balancers.
+func (s *stage) cut(_ *testscript.TestScript, _ bool, args []string) {
+	for _, other := range args[1:] {
+		s.bench.Cut(args[0], other)
+	}
+}
+
+func (s *stage) platform(ts *testscript.TestScript, _ bool, args []string) {
+	switch args[0] {
+	case "down":
+		s.bench.PlatformDown = true
+	case "up":
+		s.bench.PlatformDown = false
+	default:
+		ts.Fatalf("platform is up or down")
+	}
+}
+
+// publish SERVICE leave|activate|remove BACKEND, add NUMBER, weight BACKEND WEIGHT,
+// limit NEW-PER-SECOND, drain SPAN. The change is made to a copy.
+func (s *stage) publish(ts *testscript.TestScript, _ bool, args []string) {
+	s.documents.Services = append([]config.Service(nil), s.documents.Services...)
+	service := s.service(ts, args[0])
+	service.Backends = append([]config.Backend(nil), service.Backends...)
+	index := -1
+	for at, backend := range service.Backends {
+		if backend.Name == args[2] {
+			index = at
+		}
+	}
+	if index < 0 && args[1] != "add" && args[1] != "limit" && args[1] != "drain" {
+		ts.Fatalf("service %s has no backend server %q", args[0], args[2])
+	}
+	switch args[1] {
+	case "leave":
+		service.Backends[index].State = config.Leaving
+	case "activate":
+		service.Backends[index].State = config.Active
+	case "remove":
+		service.Backends = append(service.Backends[:index], service.Backends[index+1:]...)
+	case "weight":
+		service.Backends[index].Weight = ring.Weight(number(ts, args[3]))
+	case "add":
+		service.Backends = append(service.Backends, s.fleet.Backend(service.Name, 0, number(ts, args[2])-1))
+	case "limit":
+		service.Limits.NewPerSecond = number(ts, args[2])
+	case "drain":
+		service.DrainDeadline = config.Duration(span(ts, args[2]))
+	default:
+		ts.Fatalf("publish: unknown change %q", args[1])
+	}
+	ts.Check(s.bench.Publish(s.documents))
+}
+
+func (s *stage) halt(_ *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		s.bench.StopServer(name)
+	}
+}
+
+// expect NAME OPERATOR NUMBER compares what callers and balancers saw.
+func (s *stage) expect(ts *testscript.TestScript, _ bool, args []string) {
+	got := s.value(ts, args[0])
+	want := number(ts, args[2])
+	holds := map[string]bool{"==": got == want, "<=": got <= want, ">=": got >= want, ">": got > want}
+	satisfied, known := holds[args[1]]
+	if !known {
+		ts.Fatalf("expect: unknown operator %q", args[1])
+	}
+	if !satisfied {
+		ts.Fatalf("expect %s: got %d\n%s", strings.Join(args, " "), got, strings.Join(append(s.bench.Callers.BrokenWhy, s.bench.Callers.WaitingFlows()...), "\n"))
+	}
+}
+
+// value reads one of the numbers that a scenario can expect. New:SERVER:MARK counts
+// a backend server's new flows since a mark, Version:BALANCER is a balancer's
+// configuration.
+func (s *stage) value(ts *testscript.TestScript, name string) int {
+	c := s.bench.Callers
+	parts := strings.Split(name, ":")
+	switch parts[0] {
+	case "Started":
+		return c.Started
+	case "Open":
+		return c.OpenFlows()
+	case "Finished":
+		return c.Finished
+	case "Broken":
+		return c.Broken
+	case "Refused":
+		return c.Refused
+	case "UntrueRefusals":
+		return c.RefusedAfterForward
+	case "Misrouted":
+		return c.Misrouted
+	case "Doubled":
+		return c.Doubled
+	case "TwoServed":
+		return c.TwoServed
+	case "WrongAnswers":
+		return c.WrongAnswers
+	case "Unanswered":
+		return c.Unanswered
+	case "Waiting":
+		return c.Waiting()
+	case "New":
+		return s.bench.NewSince(parts[1], s.marks[parts[2]])
+	case "Version":
+		if compiled := s.bench.Node(parts[1]).Core.Compiled(); compiled != nil {
+			return int(compiled.Version)
+		}
+		return 0
+	case "Held":
+		return s.bench.Node(parts[1]).Core.HeldSlots()
+	case "HeldByAll":
+		held := 0
+		for _, node := range s.bench.Nodes {
+			if node.Alive() {
+				held += node.Core.HeldSlots()
+			}
+		}
+		return held
+	}
+	ts.Fatalf("expect: unknown value %q", name)
+	return 0
+}
--- a/internal/core/slot.go
+++ b/internal/core/slot.go
@@ -154,8 +154,8 @@
 // encode describes the slot to another balancer whose configuration is the
 // reference; without one, the default of every service is written out. The slot
 // is locked.
-func (c *Core) encode(s *slot, number flow.Slot, reference *config.Compiled) *wire.SlotState {
-	state := &wire.SlotState{Slot: uint32(number), Coverage: s.coverage()}
+func (c *Core) encode(s *slot, number flow.Slot, coverage wire.Coverage, reference *config.Compiled) *wire.SlotState {
+	state := &wire.SlotState{Slot: uint32(number), Coverage: coverage}
 	compiled := c.Compiled()
 	if compiled == nil {
 		return state
@@ -167,7 +167,7 @@
 				continue
 			}
 		}
-		if base != 0 && state.Coverage != wire.Coverage_COVERAGE_NONE {
+		if base != 0 && coverage != wire.Coverage_COVERAGE_NONE {
 			state.Cells = append(state.Cells, &wire.Cell{Service: uint32(service.Key), Backend: uint32(base)})
 		}
 	}
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -95,7 +95,7 @@
 	for _, number := range slots {
 		s := &c.slots[number]
 		s.mutex.Lock()
-		message.Slots = append(message.Slots, c.encode(s, number, reference))
+		message.Slots = append(message.Slots, c.encode(s, number, s.coverage(), reference))
 		s.mutex.Unlock()
 	}
 	c.syncs[id] = pending
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -128,6 +128,7 @@
 		Self:                  node.Instance,
 		Rand:                  rand.New(rand.NewPCG(seed, 2)),
 		Log:                   b.settings.Log.WithValues("Instance", node.Instance.Name),
+		Decisions:             b.settings.Log.WithValues("Instance", node.Instance.Name),
 		ControlBytesPerSecond: b.settings.ControlBytesPerSecond,
 		HashOnly:              b.settings.HashOnly,
 	})
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -148,13 +148,22 @@
 	for slot := range owners {
 		for index := range members {
 			member := &members[index]
-			ranks[index] = scored{member, mix(uint32(member.Key), uint32(slot)+flow.SlotCount)}
+			ranks[index] = scored{member, ownerScore(member.Key, flow.Slot(slot))}
 		}
 		owners[slot] = choose(ranks)
 	}
 	return owners
 }
 
+// Outranks reports whether one balancer comes before another in a slot's order.
+func Outranks(one, other flow.MemberKey, slot flow.Slot) bool {
+	return ownerScore(one, slot) > ownerScore(other, slot)
+}
+
+func ownerScore(member flow.MemberKey, slot flow.Slot) uint64 {
+	return mix(uint32(member), uint32(slot)+flow.SlotCount)
+}
+
 // choose takes the owner and replicas from the members' scores for a slot.
 func choose(ranks []scored) Holders {
 	var chosen [1 + ReplicaCount]*Member
