Knowledge of a slot counts for a while after the duty for it ends

Ruled out: the claim's end before all had answered (all six were asked). Change: a replica off duty counts as a former one for 30 s, below a replica on duty and above none.

--- a/internal/core/claim.go
+++ b/internal/core/claim.go
@@ -187,6 +187,7 @@
 func (c *Core) takeStray(s *slot, state *wire.SlotState, reference *config.Compiled) {
 	c.mergeState(s, state, reference, true)
 	s.former = true
+	s.lapsesAt = time.Now().Add(lapseTime)
 }
 
 // passOn sends stray grants to the slots' owners in the view.
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -230,6 +230,7 @@
 		s := &c.slots[index]
 		s.mutex.Lock()
 		s.former = continuous && (s.held || s.former)
+		s.lapsesAt = time.Now().Add(lapseTime)
 		s.synced = false
 		s.claiming = false
 		c.release(s)
@@ -285,6 +286,7 @@
 // reviewSlots compares each slot with the new view.
 func (c *Core) reviewSlots() {
 	v := c.view.Load()
+	now := time.Now()
 	var wanted []flow.Slot
 	for index := range c.slots {
 		number := flow.Slot(index)
@@ -298,9 +300,8 @@
 			s.claiming = false
 			c.requeue(s)
 		}
-		if !s.held && !s.claiming && !s.former && holders.Owner != c.key && !holders.Includes(c.key) {
-			s.synced = false
-			s.cells = nil
+		if !s.held && !s.claiming && holders.Owner != c.key && !holders.Includes(c.key) {
+			c.lapse(s, now)
 		}
 		c.keepSynced(s, holders)
 		s.mutex.Unlock()
@@ -329,6 +330,24 @@
 	return !c.members.Ready() || ring.Chosen(domain, c.key, readerSalt, readersPerDomain)
 }
 
+// lapse ends a replica's duty for a slot. Until the new replicas have been brought
+// up to date its knowledge may be the only one, should the owner die, so that it
+// counts for a while longer. The slot is locked.
+func (c *Core) lapse(s *slot, now time.Time) {
+	if s.synced {
+		s.synced = false
+		s.former = true
+		s.lapsesAt = now.Add(lapseTime)
+	}
+	if !s.former {
+		s.cells = nil
+	}
+	if s.former && now.After(s.lapsesAt) {
+		s.former = false
+		s.cells = nil
+	}
+}
+
 // noteLives finds out who has been restarted or paused since the last view, and
 // with it has lost what it was sent.
 func (c *Core) noteLives() {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,7 +54,9 @@
 	refuseTime = 65 * time.Second
 	// DoubtLimit bounds how long packets of unknown flows are dropped after all
 	// balancers that knew the slot's exceptions were lost.
-	DoubtLimit         = 10 * time.Second
+	DoubtLimit = 10 * time.Second
+	// lapseTime is how long knowledge of a slot counts after the duty for it ended.
+	lapseTime          = 30 * time.Second
 	claimRetry         = 200 * time.Millisecond
 	reclaimPeriod      = 500 * time.Millisecond
 	configRetry        = 400 * time.Millisecond
--- a/internal/core/slot.go
+++ b/internal/core/slot.go
@@ -22,8 +22,9 @@
 	claiming bool
 	// synced: this replica holds all of the owner's exceptions.
 	synced bool
-	// former: held until others took over during a loss of contact.
-	former bool
+	// former: owned or replicated the slot until a short while ago.
+	former   bool
+	lapsesAt time.Time
 	// settledAt is when retransmissions to the owner before have ended.
 	settledAt time.Time
 	// refuseAt is when a refusal can be known to be true.
