--- a/internal/config/bundle.go
+++ b/internal/config/bundle.go
@@ -261,3 +261,53 @@
 		return value.Name == entry.Name && value.Version == entry.Version
 	})
 }
+
+// Changes are the differences between two bundles.
+type Changes struct {
+	Changed []Value
+	Removed []ValueName
+}
+
+// Since returns what has changed in the bundle since an earlier one.
+func (b Bundle) Since(earlier Bundle) Changes {
+	var changes Changes
+	before := earlier.versions()
+	for _, value := range b.Values {
+		version, known := before[value.Name]
+		if !known || version != value.Version {
+			changes.Changed = append(changes.Changed, value)
+		}
+		delete(before, value.Name)
+	}
+	for _, value := range earlier.Values {
+		if _, gone := before[value.Name]; gone {
+			changes.Removed = append(changes.Removed, value.Name)
+		}
+	}
+	return changes
+}
+
+func (b Bundle) versions() map[ValueName]Version {
+	versions := make(map[ValueName]Version, len(b.Values))
+	for _, value := range b.Values {
+		versions[value.Name] = value.Version
+	}
+	return versions
+}
+
+// With returns the bundle after changes, with an index of its own for them.
+func (b Bundle) With(changes Changes, version Version, seed flow.Seed) (Bundle, error) {
+	result := Bundle{}
+	replaced := Bundle{Values: changes.Changed}.versions()
+	for _, value := range b.Values {
+		_, changed := replaced[value.Name]
+		if !changed && !slices.Contains(changes.Removed, value.Name) {
+			result.Values = append(result.Values, value)
+		}
+	}
+	result.Values = append(result.Values, changes.Changed...)
+	if err := result.writeIndex(version, seed); err != nil {
+		return Bundle{}, err
+	}
+	return result, nil
+}
--- a/internal/config/render.go
+++ b/internal/config/render.go
@@ -4,13 +4,14 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+
+	"wigeonmoor.example/internal/flow"
 )
 
 // Render writes documents as the values to publish. Values that are the same as
 // in the previous bundle keep their versions; all others get the new version.
 func Render(documents Documents, previous Bundle, version Version) (Bundle, error) {
 	bundle := Bundle{}
-	index := Index{Version: version, HashSeed: documents.Index.HashSeed}
 	add := func(name ValueName, document any) error {
 		data, err := json.MarshalIndent(document, "", "  ")
 		if err != nil {
@@ -23,7 +24,6 @@
 			}
 		}
 		bundle.Values = append(bundle.Values, value)
-		index.Values = append(index.Values, IndexEntry{Name: name, Version: value.Version})
 		return nil
 	}
 	if err := add(DomainsName, Domains{Domains: documents.Domains}); err != nil {
@@ -39,10 +39,22 @@
 			return Bundle{}, err
 		}
 	}
+	if err := bundle.writeIndex(version, documents.Index.HashSeed); err != nil {
+		return Bundle{}, err
+	}
+	return bundle, nil
+}
+
+// writeIndex gives the bundle an index that names its values.
+func (b *Bundle) writeIndex(version Version, seed flow.Seed) error {
+	index := Index{Version: version, HashSeed: seed}
+	for _, value := range b.Values {
+		index.Values = append(index.Values, IndexEntry{Name: value.Name, Version: value.Version})
+	}
 	data, err := json.MarshalIndent(index, "", "  ")
 	if err != nil {
-		return Bundle{}, fmt.Errorf("config: render index: %w", err)
+		return fmt.Errorf("config: render index: %w", err)
 	}
-	bundle.Index = Value{Name: IndexName, Version: version, Data: data}
-	return bundle, nil
+	b.Index = Value{Name: IndexName, Version: version, Data: data}
+	return nil
 }
--- /dev/null
+++ b/internal/core/capacity_test.go
@@ -0,0 +1,106 @@
+package core_test
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"wigeonmoor.example/internal/config"
+	"wigeonmoor.example/internal/model"
+)
+
+// capacityBytes is the letter's control budget of a daemon, in bytes a second.
+const capacityBytes = 17000
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// phase measures what a span costs a balancer in bytes and processor time.
+func phase(b *model.Bench, span time.Duration, act func()) (bytes float64, core float64) {
+	before, used := b.ControlBytes(), processorTime()
+	if act != nil {
+		act()
+	}
+	b.Run(span)
+	count := float64(len(b.Nodes))
+	bytes = float64(b.ControlBytes()-before) / count
+	core = float64(processorTime()-used) / float64(span) / count
+	return bytes, core
+}
+
+// converge publishes and returns how long it took until the last balancer had the
+// configuration in force.
+func converge(t *testing.T, b *model.Bench, documents config.Documents) time.Duration {
+	published := time.Now()
+	if err := b.Publish(documents); err != nil {
+		t.Fatal(err)
+	}
+	for time.Since(published) < time.Minute {
+		b.Run(10 * time.Millisecond)
+		behind := 0
+		for _, node := range b.Nodes {
+			if compiled := node.Core.Compiled(); node.Alive() && (compiled == nil || compiled.Version < b.Version()) {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return time.Since(published)
+		}
+	}
+	return time.Minute
+}
+
+// TestCapacity prints what a balancer spends on control at several sizes, from
+// which docs/CAPACITY.md works out the letter's size.
+func TestCapacity(t *testing.T) {
+	if !*measure {
+		t.Skip("run by make capacity")
+	}
+	for _, size := range []struct{ balancers, services int }{{8, 8}, {36, 36}, {72, 72}, {145, 145}} {
+		synctest.Test(t, func(t *testing.T) {
+			fleet := model.FleetConfig{Balancers: size.balancers, Domains: 1}
+			for index := range size.services {
+				fleet.Services = append(fleet.Services, model.ServiceConfig{Name: fmt.Sprintf("service-%d", index), Backends: 7})
+			}
+			b, err := model.New(model.Config{
+				Seed:                  5,
+				Instances:             fleet.Instances(),
+				Documents:             fleet.Documents(),
+				Delay:                 hopDelay,
+				ControlBytesPerSecond: capacityBytes,
+				Log:                   logr.Discard(),
+				Readers:               2,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Run(20 * time.Second)
+			documents := fleet.Documents()
+			for index := range 20 * size.balancers {
+				line := model.Line{Service: documents.Services[index%len(documents.Services)], Talk: 10 * time.Second}
+				b.Callers.StartMany(1, time.Second, line)
+			}
+			b.Run(15 * time.Second)
+			idle, idleCore := phase(b, 10*time.Second, nil)
+			leave, _ := phase(b, 10*time.Second, func() { b.Leave(b.Nodes[1]) })
+			join, _ := phase(b, 10*time.Second, func() { b.Add(fleet.Instance(size.balancers)) })
+			kill, _ := phase(b, 10*time.Second, func() { b.Kill(b.Nodes[2]) })
+			documents.Services[0].Backends[0].State = config.Leaving
+			before := b.ControlBytes()
+			spread := converge(t, b, documents)
+			change := float64(b.ControlBytes()-before)/float64(len(b.Nodes)) - idle/10*spread.Seconds()
+			fmt.Printf("capacity: Balancers=%d Services=%d Backends=%d IdleBytesPerSecond=%.0f IdleCorePercent=%.2f LeaveBytes=%.0f JoinBytes=%.0f KillBytes=%.0f ChangeBytes=%.0f ConvergeSeconds=%.2f Broken=%d\n",
+				size.balancers, size.services, 7*size.services, idle/10, 100*idleCore, leave-idle, join-idle, kill-idle, change, spread.Seconds(), b.Callers.Broken)
+		})
+	}
+}
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -41,12 +41,15 @@
 func (c *Core) Tick() Output {
 	now := time.Now()
 	c.members.Tick()
+	c.offer()
 	c.applyEvents()
+	if c.viewChanged {
+		c.publishView()
+	}
 	c.refreshLease()
 	c.refill(now)
 	c.tellCounts(now)
 	c.adaptGain(now)
-	c.offer()
 	c.askForConfig(now)
 	c.driveClaim(now)
 	c.reclaim(now)
@@ -215,7 +218,8 @@
 		c.demote(true)
 		c.publishView()
 	case member.ViewChanged:
-		c.publishView()
+		// Several changes come together, and the next tick is soon.
+		c.viewChanged = true
 	}
 }
 
@@ -256,6 +260,7 @@
 // publishView computes the holders of all slots anew and claims what falls to
 // this balancer.
 func (c *Core) publishView() {
+	c.viewChanged = false
 	before := c.view.Load()
 	ready := make([]ring.Member, 0, len(before.peers)+1)
 	peers := make(map[flow.MemberKey]peer, len(before.peers))
@@ -610,29 +615,29 @@
 	request := &wire.ConfigRequest{}
 	if compiled != nil {
 		request.Version = uint64(compiled.Version)
-		for _, value := range compiled.Bundle.Values {
-			request.Have = append(request.Have, &wire.Value{Name: string(value.Name), Version: uint64(value.Version)})
-		}
 	}
 	c.post(peer, &wire.Envelope{Body: &wire.Envelope_ConfigRequest{ConfigRequest: request}})
 }
 
-// answerConfig sends the values that the other does not have.
+// answerConfig sends what has changed since the other's configuration, or all of
+// it to a balancer whose configuration is not remembered here.
 func (c *Core) answerConfig(from flow.MemberKey, request *wire.ConfigRequest) {
 	compiled := c.Compiled()
 	if compiled == nil || uint64(compiled.Version) <= request.Version {
 		return
 	}
-	have := make(map[string]uint64, len(request.Have))
-	for _, value := range request.Have {
-		have[value.Name] = value.Version
+	reply := &wire.ConfigReply{Version: uint64(compiled.Version), HashSeed: uint64(compiled.HashSeed)}
+	var earlier config.Bundle
+	if base := c.compiledAt(config.Version(request.Version)); base != nil {
+		earlier = base.Bundle
+		reply.Base = request.Version
 	}
-	reply := &wire.ConfigReply{Index: valueToWire(compiled.Bundle.Index)}
-	for _, value := range compiled.Bundle.Values {
-		if version, held := have[string(value.Name)]; held && version == uint64(value.Version) {
-			continue
-		}
-		reply.Values = append(reply.Values, valueToWire(value))
+	changes := compiled.Bundle.Since(earlier)
+	for _, value := range changes.Changed {
+		reply.Changed = append(reply.Changed, valueToWire(value))
+	}
+	for _, name := range changes.Removed {
+		reply.Removed = append(reply.Removed, string(name))
 	}
 	c.post(from, &wire.Envelope{Body: &wire.Envelope_ConfigReply{ConfigReply: reply}})
 }
@@ -645,30 +650,31 @@
 	return config.Value{Name: config.ValueName(value.Name), Version: config.Version(value.Version), Data: value.Data}
 }
 
-// takeConfig completes a reply with the values held here.
+// takeConfig applies another balancer's changes to the configuration in force.
 func (c *Core) takeConfig(from flow.MemberKey, reply *wire.ConfigReply) {
-	if reply.Index == nil {
-		c.Counters.DroppedMalform.Add(1)
-		return
-	}
-	index, err := config.Decode[config.Index](string(config.IndexName), reply.Index.Data)
-	if err != nil {
-		c.Counters.DroppedMalform.Add(1)
-		return
+	var earlier config.Bundle
+	compiled := c.Compiled()
+	if reply.Base != 0 {
+		if compiled == nil || uint64(compiled.Version) != reply.Base {
+			// Another change has come first; the next request names its version.
+			return
+		}
+		earlier = compiled.Bundle
 	}
-	bundle := config.Bundle{Index: valueFromWire(reply.Index)}
-	values := make([]config.Value, 0, len(reply.Values))
-	for _, value := range reply.Values {
-		values = append(values, valueFromWire(value))
+	var changes config.Changes
+	for _, value := range reply.Changed {
+		changes.Changed = append(changes.Changed, valueFromWire(value))
 	}
-	if compiled := c.Compiled(); compiled != nil {
-		values = append(values, compiled.Bundle.Values...)
+	for _, name := range reply.Removed {
+		changes.Removed = append(changes.Removed, config.ValueName(name))
 	}
-	bundle.Values = config.Select(index, values)
 	name := c.members.Peer(from).Instance.Name
-	output, err := c.SetBundle(bundle, "peer "+name)
-	c.output.merge(output)
+	bundle, err := earlier.With(changes, config.Version(reply.Version), flow.Seed(reply.HashSeed))
 	if err != nil {
 		c.log.Info("config: relay failed", "Peer", name, "Problems", err.Error())
+		return
 	}
+	// A refusal is logged and counted where it is found.
+	output, _ := c.SetBundle(bundle, "peer "+name)
+	c.output.merge(output)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -252,6 +252,7 @@
 	output       Output
 	history      []*config.Compiled
 	leaving      bool
+	viewChanged  bool
 	claim        *claim
 	lastID       uint64
 	syncs        map[uint64]*syncing
--- a/internal/core/scenario_test.go
+++ b/internal/core/scenario_test.go
@@ -22,12 +22,13 @@
 var (
 	scenarioFiles = flag.String("scenarios", "../../scenarios/*.txtar", "files of the scenarios to run")
 	scenarioLog   = flag.Bool("scenariolog", false, "print the balancers' log lines")
-	rapidDefault  = "25"
+	rapidChecks   = flag.String("checks", "25", "runs of each property")
 )
 
 func TestMain(m *testing.M) {
 	// The properties take about a second a check; make properties asks for more.
-	if err := flag.Set("rapid.checks", rapidDefault); err != nil {
+	flag.Parse()
+	if err := flag.Set("rapid.checks", *rapidChecks); err != nil {
 		panic(err)
 	}
 	m.Run()
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -33,7 +33,9 @@
 	Loss                  float64
 	ControlBytesPerSecond int
 	HashOnly              bool
-	Log                   logr.Logger
+	// Readers is how many balancers read the platform; zero means all.
+	Readers int
+	Log     logr.Logger
 }
 
 // fabricLag is how long the fabric sends to a balancer that has ended.
@@ -219,6 +221,11 @@
 	return list
 }
 
+// Version returns the newest published version.
+func (b *Bench) Version() config.Version {
+	return b.bundle.Index.Version
+}
+
 func (b *Bench) publishInstances() {
 	for _, node := range b.Nodes {
 		if node.alive {
@@ -235,7 +242,10 @@
 	}
 	b.bundle = bundle
 	b.addServers(documents)
-	for _, node := range b.Nodes {
+	for index, node := range b.Nodes {
+		if b.settings.Readers > 0 && index >= b.settings.Readers {
+			break
+		}
 		// Each balancer reads the platform at its own time within half a second.
 		jitter := time.Duration(b.random.Int64N(int64(500 * time.Millisecond)))
 		b.after(jitter, func() { b.offerBundle(node) })
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -130,9 +130,13 @@
 // Owners holds the holders of each slot.
 type Owners [flow.SlotCount]Holders
 
-// scored is a member with its rendezvous score for one slot.
-type scored struct {
-	member *Member
+// candidate is a member with what choosing compares. Failure domains and racks
+// are numbered, as they are compared for every slot.
+type candidate struct {
+	key    flow.MemberKey
+	seed   uint64
+	domain int
+	rack   int
 	score  uint64
 }
 
@@ -144,65 +148,104 @@
 	if len(members) == 0 {
 		return owners
 	}
-	ranks := make([]scored, len(members))
+	candidates := newCandidates(members)
 	for slot := range owners {
-		for index := range members {
-			member := &members[index]
-			ranks[index] = scored{member, ownerScore(member.Key, flow.Slot(slot))}
+		for index := range candidates {
+			candidates[index].score = ownerScore(candidates[index].seed, flow.Slot(slot))
 		}
-		owners[slot] = choose(ranks)
+		owners[slot] = choose(candidates)
 	}
 	return owners
 }
 
+func newCandidates(members []Member) []candidate {
+	domains := make(map[string]int)
+	racks := make(map[[2]string]int)
+	candidates := make([]candidate, len(members))
+	for index, member := range members {
+		candidates[index] = candidate{
+			key:    member.Key,
+			seed:   memberSeed(member.Key),
+			domain: numberOf(domains, member.Domain),
+			rack:   numberOf(racks, [2]string{member.Domain, member.Rack}),
+		}
+	}
+	return candidates
+}
+
+// numberOf numbers names in the order in which they come.
+func numberOf[Name comparable](numbers map[Name]int, name Name) int {
+	number, known := numbers[name]
+	if !known {
+		number = len(numbers)
+		numbers[name] = number
+	}
+	return number
+}
+
 // Outranks reports whether one balancer comes before another in a slot's order.
 func Outranks(one, other flow.MemberKey, slot flow.Slot) bool {
-	return ownerScore(one, slot) > ownerScore(other, slot)
+	return ownerScore(memberSeed(one), slot) > ownerScore(memberSeed(other), slot)
 }
 
-func ownerScore(member flow.MemberKey, slot flow.Slot) uint64 {
-	return mix(uint32(member), uint32(slot)+flow.SlotCount)
+func memberSeed(member flow.MemberKey) uint64 {
+	return mix(uint32(member), ownerSalt)
 }
 
-// choose takes the owner and replicas from the members' scores for a slot.
-func choose(ranks []scored) Holders {
-	var chosen [1 + ReplicaCount]*Member
+const ownerSalt = 3
+
+// ownerScore is a finalizer of splitmix64 over the member's seed and the slot. A
+// whole hash for each pair took 42 ms for 145 members.
+func ownerScore(seed uint64, slot flow.Slot) uint64 {
+	value := seed + (uint64(slot)+1)*0x9e3779b97f4a7c15
+	value = (value ^ value>>30) * 0xbf58476d1ce4e5b9
+	value = (value ^ value>>27) * 0x94d049bb133111eb
+	return value ^ value>>31
+}
+
+// choose takes the owner and replicas from the candidates' scores for a slot.
+func choose(candidates []candidate) Holders {
+	var chosen [1 + ReplicaCount]*candidate
 	for place := range chosen {
-		var best scored
+		var best *candidate
 		bestDistance := -1
-		for _, candidate := range ranks {
-			if slices.Contains(chosen[:place], candidate.member) {
+		for index := range candidates {
+			next := &candidates[index]
+			distance := distance(next, chosen[:place])
+			if distance < 0 {
 				continue
 			}
-			distance := distance(candidate.member, chosen[:place])
-			if distance > bestDistance || distance == bestDistance && candidate.score > best.score {
-				best, bestDistance = candidate, distance
+			if distance > bestDistance || distance == bestDistance && next.score > best.score {
+				best, bestDistance = next, distance
 			}
 		}
-		chosen[place] = best.member
+		if bestDistance < 0 {
+			break
+		}
+		chosen[place] = best
 	}
-	holders := Holders{Owner: chosen[0].Key}
+	holders := Holders{Owner: chosen[0].key}
 	for index, replica := range chosen[1:] {
 		if replica != nil {
-			holders.Replicas[index] = replica.Key
+			holders.Replicas[index] = replica.key
 		}
 	}
 	return holders
 }
 
 // distance counts how a member is set apart from all the others given: 2 in
-// another failure domain, 1 in another rack, 0 in the same rack.
-func distance(member *Member, others []*Member) int {
+// another failure domain, 1 in another rack, 0 in the same rack, and below zero if
+// it is one of them.
+func distance(member *candidate, others []*candidate) int {
 	result := 2
 	for _, other := range others {
-		if other == nil {
-			continue
-		}
 		switch {
-		case other.Domain == member.Domain && other.Rack == member.Rack:
-			return 0
-		case other.Domain == member.Domain:
-			result = 1
+		case other == member:
+			return -1
+		case other.rack == member.rack:
+			result = 0
+		case other.domain == member.domain:
+			result = min(result, 1)
 		}
 	}
 	return result
--- a/wigeonlab/internal/stand/platform.go
+++ b/wigeonlab/internal/stand/platform.go
@@ -3,6 +3,7 @@
 package stand
 
 import (
+	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
@@ -131,8 +132,7 @@
 			return
 		}
 		if uint64(value.Version) > after {
-			w.Header().Set(watch.VersionHeader, strconv.FormatUint(uint64(value.Version), 10))
-			_, _ = w.Write(value.Data)
+			writeValue(w, r, value)
 			return
 		}
 		select {
@@ -146,6 +146,19 @@
 	}
 }
 
+// writeValue answers with a value, compressed where the reader takes that.
+func writeValue(w http.ResponseWriter, r *http.Request, value config.Value) {
+	w.Header().Set(watch.VersionHeader, strconv.FormatUint(uint64(value.Version), 10))
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = w.Write(value.Data)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	packed := gzip.NewWriter(w)
+	_, _ = packed.Write(value.Data)
+	_ = packed.Close()
+}
+
 // put publishes a value. The header Version sets its version; without one it
 // counts up.
 func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
