--- a/internal/config/bundle.go
+++ b/internal/config/bundle.go
@@ -67,23 +67,22 @@
 		return err
 	case strings.HasPrefix(name, teamPrefix):
 		team, err := Decode[Team](name, value.Data)
+		if err != nil {
+			return err
+		}
 		d.Teams = append(d.Teams, team)
-		return errorsFirst(err, sameName(name, teamPrefix, team.Name))
+		return sameName(name, teamPrefix, team.Name)
 	case strings.HasPrefix(name, servicePrefix):
 		service, err := Decode[Service](name, value.Data)
+		if err != nil {
+			return err
+		}
 		d.Services = append(d.Services, service)
-		return errorsFirst(err, sameName(name, servicePrefix, service.Name))
+		return sameName(name, servicePrefix, service.Name)
 	}
 	return Problems{{File: name, Reason: "unknown kind of value", Fix: "names are domains, team/NAME or service/NAME"}}
 }
 
-func errorsFirst(first, second error) error {
-	if first != nil {
-		return first
-	}
-	return second
-}
-
 func sameName(value, prefix, name string) error {
 	if value == prefix+name {
 		return nil
--- /dev/null
+++ b/internal/core/datagram_test.go
@@ -0,0 +1,121 @@
+package core_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wigeonmoor.example/internal/config"
+	"wigeonmoor.example/internal/core"
+	"wigeonmoor.example/internal/flow"
+	"wigeonmoor.example/internal/model"
+	"wigeonmoor.example/internal/packet"
+	"wigeonmoor.example/internal/wire"
+)
+
+// pair returns a balancer that serves alone and knows one other from the list.
+func pair(t testing.TB) (*core.Core, model.FleetConfig) {
+	fleet := model.TimerFleet()
+	c := core.New(core.Config{Self: fleet.Instance(0), Rand: rand.New(rand.NewPCG(1, 2)), ControlBytesPerSecond: 4000})
+	bundle, err := config.Render(fleet.Documents(), config.Bundle{}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.SetBundle(bundle, "test"); err != nil {
+		t.Fatal(err)
+	}
+	c.SetInstances(config.Instances{Instances: fleet.Instances()[:2]})
+	return c, fleet
+}
+
+// Example shows the boundary at which a bench attaches: packets go in, actions
+// come out.
+func Example() {
+	fleet := model.TimerFleet()
+	bench, err := model.New(model.Config{Seed: 1, Instances: fleet.Instances(), Documents: fleet.Documents(), Delay: time.Millisecond, ControlBytesPerSecond: 4000})
+	if err != nil {
+		return
+	}
+	var actions core.Actions
+	var parsed packet.Packet
+	data, _ := packet.Segment{From: netip.MustParseAddrPort("203.0.113.9:40000"), To: fleet.Documents().Services[0].Address, SYN: true}.Bytes()
+	if err := packet.NewParser().Parse(data, &parsed); err != nil {
+		return
+	}
+	// A balancer that has not found the others yet decides nothing.
+	bench.Nodes[0].Core.Packet(&parsed, &actions)
+	fmt.Println(len(actions.List))
+	// Output: 0
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, fleet := pair(t)
+		var actions core.Actions
+		var scratch packet.Packet
+		data := wire.AppendAnswer(nil, wire.Answer{Flow: 1})
+		stranger := netip.MustParseAddrPort("203.0.113.1:7700")
+		if err := c.Datagram(packet.NewParser(), &scratch, data, stranger, &actions); !errors.Is(err, core.ErrStranger) {
+			t.Fatalf("a stranger's datagram: %v", err)
+		}
+		if err := c.Datagram(packet.NewParser(), &scratch, data, fleet.Instance(1).Address, &actions); err != nil {
+			t.Fatalf("a peer's datagram: %v", err)
+		}
+		c.Envelope(flow.MemberKey(99), &wire.Envelope{})
+		c.Probe(&wire.Probe{From: 99})
+		if got := c.Counters.DroppedStranger.Load(); got != 3 {
+			t.Fatalf("%d strangers were counted, expected 3", got)
+		}
+	})
+}
+
+func FuzzCoreDatagram(f *testing.F) {
+	c, fleet := pair(f)
+	data, err := packet.Segment{From: netip.MustParseAddrPort("203.0.113.9:40000"), To: fleet.Documents().Services[0].Address, SYN: true}.Bytes()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(append(wire.AppendHand(nil, 1), data...))
+	f.Add(append(wire.AppendInstall(nil, wire.Install{Backend: 5, Length: 1}), data...))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var actions core.Actions
+		var scratch packet.Packet
+		// It must not panic; errors are what most inputs deserve.
+		_ = c.Datagram(packet.NewParser(), &scratch, data, fleet.Instance(1).Address, &actions)
+	})
+}
+
+func FuzzCoreEnvelope(f *testing.F) {
+	c, fleet := pair(f)
+	from := fleet.Instance(1).Key()
+	for _, body := range []*wire.Envelope{
+		{Body: &wire.Envelope_Claim{Claim: &wire.Claim{Slots: []byte{255}}}},
+		{Body: &wire.Envelope_Sync{Sync: &wire.Sync{Slots: []*wire.SlotState{{Slot: 3, Flows: []uint64{1}, Backends: []uint32{1}}}}}},
+		{Body: &wire.Envelope_ClaimReply{ClaimReply: &wire.ClaimReply{Kept: []byte{1}, Slots: []*wire.SlotState{{Slot: 9999}}}}},
+		{Body: &wire.Envelope_Rebase{Rebase: &wire.Rebase{Cell: &wire.Cell{}}}},
+		{Body: &wire.Envelope_ConfigReply{ConfigReply: &wire.ConfigReply{Version: 3}}},
+	} {
+		data, err := proto.Marshal(body)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		envelope := &wire.Envelope{}
+		if proto.Unmarshal(data, envelope) == nil {
+			c.Envelope(from, envelope)
+		}
+		probe := &wire.Probe{}
+		if proto.Unmarshal(data, probe) == nil {
+			probe.From = uint32(from)
+			c.Probe(probe)
+		}
+	})
+}
