Operators' documents, slots named the shorter way, counters written at the end

Cause: at 72 balancers a leave cost each balancer 74 KB, as every claim of one or two slots carried 512 bytes to each of 71 peers. The demo, now also pausing a balancer for three seconds, left one flow of 2,500 unopened in one of three runs, and nobody could see why. Change: claims list few slots and pack many; a process logs its counters when it leaves.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -19,8 +19,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"reflect"
-	"sync/atomic"
 	"time"
 
 	"wigeonmoor.example/internal/config"
@@ -261,22 +259,8 @@
 	if expvar.Get("Core") != nil {
 		return
 	}
-	expvar.Publish("Core", expvar.Func(func() any { return readCounters(&settings.Core.Counters) }))
+	expvar.Publish("Core", expvar.Func(func() any { return settings.Core.Counters.Values() }))
 	expvar.Publish("Shell", expvar.Func(func() any { return settings.Totals() }))
 	expvar.Publish("HeldSlots", expvar.Func(func() any { return settings.Core.HeldSlots() }))
 	expvar.Publish("Records", expvar.Func(func() any { return settings.Core.Records() }))
 }
-
-// readCounters lists counters by the names of their fields, so that a new counter
-// needs no second mention.
-func readCounters(counters *core.Counters) map[string]int64 {
-	value := reflect.ValueOf(counters).Elem()
-	all := make(map[string]int64, value.NumField())
-	for index := range value.NumField() {
-		counter, ok := value.Field(index).Addr().Interface().(*atomic.Int64)
-		if ok {
-			all[value.Type().Field(index).Name] = counter.Load()
-		}
-	}
-	return all
-}
--- a/internal/core/claim.go
+++ b/internal/core/claim.go
@@ -59,7 +59,7 @@
 func (c *Core) sendClaim(now time.Time) {
 	c.claim.sentAt = now
 	message := &wire.Claim{Claim: c.claim.id, ConfigVersion: uint64(c.claim.version)}
-	message.Slots = slotBits(c.claim.slots)
+	message.Slots = slotSet(c.claim.slots)
 	for _, to := range sortedKeys(c.claim.waiting) {
 		c.post(to, &wire.Envelope{Body: &wire.Envelope_Claim{Claim: message}})
 	}
@@ -106,7 +106,7 @@
 		s.mutex.Unlock()
 	}
 	if len(kept) > 0 {
-		reply.Kept = slotBits(kept)
+		reply.Kept = slotSet(kept)
 	}
 	c.post(from, &wire.Envelope{Body: &wire.Envelope_ClaimReply{ClaimReply: reply}})
 }
@@ -380,23 +380,41 @@
 	c.postReplies(replies)
 }
 
-const bitsPerByte = 8
+const (
+	bitsPerByte = 8
+	slotSetSize = (flow.SlotCount + bitsPerByte - 1) / bitsPerByte
+	// fewBytes is what a slot takes in a list.
+	fewBytes = 2
+)
 
-// slotBits packs slots into a bit each: 512 bytes however many there are.
-func slotBits(slots []flow.Slot) []byte {
-	packed := make([]byte, (flow.SlotCount+bitsPerByte-1)/bitsPerByte)
+// slotSet packs slots: two bytes each, or 512 bytes however many there are.
+func slotSet(slots []flow.Slot) *wire.SlotSet {
+	set := &wire.SlotSet{}
+	if len(slots)*fewBytes < slotSetSize {
+		for _, number := range slots {
+			set.Few = append(set.Few, uint32(number))
+		}
+		return set
+	}
+	set.Many = make([]byte, slotSetSize)
 	for _, number := range slots {
-		packed[number/bitsPerByte] |= 1 << (number % bitsPerByte)
+		set.Many[number/bitsPerByte] |= 1 << (number % bitsPerByte)
 	}
-	return packed
+	return set
 }
 
-// slotsOf unpacks slots. Bits beyond the last slot are ignored.
-func slotsOf(packed []byte) []flow.Slot {
+// slotsOf unpacks slots. Numbers and bits beyond the last slot are ignored.
+func slotsOf(set *wire.SlotSet) []flow.Slot {
 	var slots []flow.Slot
+	for _, number := range set.GetFew() {
+		if number < flow.SlotCount {
+			slots = append(slots, flow.Slot(number))
+		}
+	}
+	many := set.GetMany()
 	for number := range flow.Slot(flow.SlotCount) {
 		at := int(number / bitsPerByte)
-		if at < len(packed) && packed[at]&(1<<(number%bitsPerByte)) != 0 {
+		if at < len(many) && many[at]&(1<<(number%bitsPerByte)) != 0 {
 			slots = append(slots, number)
 		}
 	}
--- a/internal/core/datagram_test.go
+++ b/internal/core/datagram_test.go
@@ -95,9 +95,9 @@
 	c, fleet := pair(f)
 	from := fleet.Instance(1).Key()
 	for _, body := range []*wire.Envelope{
-		{Body: &wire.Envelope_Claim{Claim: &wire.Claim{Slots: []byte{255}}}},
+		{Body: &wire.Envelope_Claim{Claim: &wire.Claim{Slots: &wire.SlotSet{Many: []byte{255}, Few: []uint32{9999}}}}},
 		{Body: &wire.Envelope_Sync{Sync: &wire.Sync{Slots: []*wire.SlotState{{Slot: 3, Flows: []uint64{1}, Backends: []uint32{1}}}}}},
-		{Body: &wire.Envelope_ClaimReply{ClaimReply: &wire.ClaimReply{Kept: []byte{1}, Slots: []*wire.SlotState{{Slot: 9999}}}}},
+		{Body: &wire.Envelope_ClaimReply{ClaimReply: &wire.ClaimReply{Kept: &wire.SlotSet{Many: []byte{1}}, Slots: []*wire.SlotState{{Slot: 9999}}}}},
 		{Body: &wire.Envelope_Rebase{Rebase: &wire.Rebase{Cell: &wire.Cell{}}}},
 		{Body: &wire.Envelope_ConfigReply{ConfigReply: &wire.ConfigReply{Version: 3}}},
 	} {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,8 +9,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -63,7 +65,22 @@
 	case <-ctx.Done():
 		return nil
 	}
-	return d.leave(signals)
+	err = d.leave(signals)
+	d.logCounters()
+	return err
+}
+
+// logCounters writes what was counted, as nobody can ask a process that has ended.
+func (d *Daemon) logCounters() {
+	var fields []any
+	counters := d.core.Counters.Values()
+	maps.Copy(counters, d.totals())
+	for _, name := range slices.Sorted(maps.Keys(counters)) {
+		if counters[name] != 0 {
+			fields = append(fields, name, counters[name])
+		}
+	}
+	d.log.Info("daemon: counted", fields...)
 }
 
 func start(ctx context.Context, settings setup.Settings, log logr.Logger) (*Daemon, error) {
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -1,6 +1,7 @@
 package setup_test
 
 import (
+	"os"
 	"strings"
 	"testing"
 
@@ -58,3 +59,20 @@
 		}
 	})
 }
+
+// Every key stands in the documentation with its default.
+func TestKeysAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range setup.Keys() {
+		expected := "| `" + key.Section + "." + key.Name + "` | required | " + key.Description + " |"
+		if key.Default != "" {
+			expected = strings.Replace(expected, "required", "`"+key.Default+"`", 1)
+		}
+		if !strings.Contains(string(page), expected) {
+			t.Errorf("docs/SETTINGS.md lacks the line %s", expected)
+		}
+	}
+}
--- a/script/demo.sh
+++ b/script/demo.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Runs one deployment on loopback: platform, fabric, backend servers, balancers and
 # callers, each as a process of its own. While requests go on, a backend server is
-# marked as leaving, a balancer leaves and another one is killed.
+# marked as leaving, a balancer is paused, one leaves and another one is killed.
 set -eu
 deployment=${DEPLOYMENT:-horodis}
 flows=${FLOWS:-2000}
@@ -38,17 +38,23 @@
 start fabric bin/wigeonlab fabric -deployment "$deployment"
 for number in $(seq 15); do start "$first-$number" bin/wigeonlab server -deployment "$deployment" -server "$first-$number"; done
 for number in $(seq 4); do start "$second-$number" bin/wigeonlab server -deployment "$deployment" -server "$second-$number"; done
-leaver="" victim=""
+leaver="" victim="" sleeper=""
 for number in $(seq 8); do
 	start "entry-$number" bin/wigeond run -settings "$out/settings/$deployment-entry-$number.ini"
 	if [ "$number" = 3 ]; then leaver=$pid; fi
+	if [ "$number" = 5 ]; then sleeper=$pid; fi
 	if [ "$number" = 6 ]; then victim=$pid; fi
 done
 sleep 4
 echo "demo: 8 balancers, 19 backend servers and the stand-ins run"
 start callers bin/wigeonlab call -deployment "$deployment" -flows "$flows" -span "${span}s"
 callers=$pid
-sleep 6
+sleep 2
+kill -STOP "$sleeper"
+echo "demo: balancer 5 is paused for three seconds"
+sleep 3
+kill -CONT "$sleeper"
+sleep 1
 bin/wigeonctl mark "$out/published" "$first-2" Leaving
 bin/wigeonlab publish -deployment "$deployment" -directory "$out/published"
 echo "demo: $first-2 is marked as leaving"
