--- a/internal/config/bundle.go
+++ b/internal/config/bundle.go
@@ -168,7 +168,7 @@
 	if service.IdleTimeout <= 0 {
 		c.add(file, "IdleTimeout", "must be above zero", "use \"4h\" for lines that are silent for hours")
 	}
-	if service.ColdStart < 0 || service.DrainDeadline < 0 || service.Limits.NewPerSecond < 0 || service.Limits.OpenFlows < 0 {
+	if service.ColdStart < 0 || service.DrainDeadline < 0 || service.ResetAfter < 0 || service.Limits.NewPerSecond < 0 || service.Limits.OpenFlows < 0 {
 		c.add(file, "Limits", "a span or limit is below zero", "use zero for no limit")
 	}
 	c.claim(file, "Address", fmt.Sprintf("address %s %s", service.Protocol, service.Address), owner)
--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -73,9 +73,13 @@
 		fabric:    fabric,
 	}
 	home := homeDomains(documents.Domains, fabric)
+	unchanged := bundle.unchanged(previous)
 	for _, document := range documents.Services {
-		service := compileService(document, home)
-		service.fillDefaults(previous)
+		service := unchanged(document.Name)
+		if service == nil {
+			service = compileService(document, home)
+			service.fillDefaults(previous)
+		}
 		compiled.Services = append(compiled.Services, service)
 		compiled.byAddress[addressOf(service.Protocol, service.Address)] = service
 		compiled.byKey[service.Key] = service
@@ -85,6 +89,24 @@
 	return compiled, nil
 }
 
+// unchanged returns a look-up of the previous configuration's services whose values
+// are the same. They are shared, so that remembering 64 configurations of 1,300
+// services costs little more than remembering one.
+func (b Bundle) unchanged(previous *Compiled) func(name string) *CompiledService {
+	if previous == nil {
+		return func(string) *CompiledService { return nil }
+	}
+	before, after := previous.Bundle.versions(), b.versions()
+	return func(name string) *CompiledService {
+		value := ValueName(servicePrefix + name)
+		same := after[value] != 0 && before[value] == after[value] && before[DomainsName] == after[DomainsName]
+		if !same {
+			return nil
+		}
+		return previous.ByKey(flow.ServiceKey(flow.NameKey(name)))
+	}
+}
+
 // homeDomains returns the names of the failure domains behind a fabric.
 func homeDomains(domains []Domain, fabric string) []string {
 	var home []string
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -119,8 +119,11 @@
 	// DrainDeadline bounds how long flows stay on a leaving backend server; zero
 	// lets them finish.
 	DrainDeadline Duration
-	Limits        Limits
-	Backends      []Backend
+	// ResetAfter is how long a backend server's reports must have been unhealthy
+	// before its open flows are reset; zero never resets them.
+	ResetAfter Duration
+	Limits     Limits
+	Backends   []Backend
 }
 
 // Limits bound what one balancer sends to one backend server. Zero is no limit.
--- a/internal/core/scenario_test.go
+++ b/internal/core/scenario_test.go
@@ -14,8 +14,10 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"wigeonmoor.example/internal/config"
+	"wigeonmoor.example/internal/flow"
 	"wigeonmoor.example/internal/logs"
 	"wigeonmoor.example/internal/model"
+	"wigeonmoor.example/internal/place"
 	"wigeonmoor.example/internal/ring"
 )
 
@@ -101,6 +103,7 @@
 		"platform": s.platform,
 		"publish":  s.publish,
 		"halt":     s.halt,
+		"report":   s.report,
 		"ask":      func(*testscript.TestScript, bool, []string) { s.bench.Callers.Ask() },
 		"mark":     func(_ *testscript.TestScript, _ bool, args []string) { s.marks[args[0]] = time.Now() },
 		"expect":   s.expect,
@@ -223,7 +226,7 @@
 }
 
 // publish SERVICE leave|activate|remove BACKEND, add NUMBER, weight BACKEND WEIGHT,
-// limit NEW-PER-SECOND, drain SPAN. The change is made to a copy.
+// limit NEW-PER-SECOND, drain SPAN, reset SPAN. The change is made to a copy.
 func (s *stage) publish(ts *testscript.TestScript, _ bool, args []string) {
 	s.documents.Services = append([]config.Service(nil), s.documents.Services...)
 	service := s.service(ts, args[0])
@@ -234,7 +237,7 @@
 			index = at
 		}
 	}
-	if index < 0 && args[1] != "add" && args[1] != "limit" && args[1] != "drain" {
+	if index < 0 && args[1] != "add" && args[1] != "limit" && args[1] != "drain" && args[1] != "reset" {
 		ts.Fatalf("service %s has no backend server %q", args[0], args[2])
 	}
 	switch args[1] {
@@ -250,6 +253,8 @@
 		service.Backends = append(service.Backends, s.fleet.Backend(service.Name, 0, number(ts, args[2])-1))
 	case "limit":
 		service.Limits.NewPerSecond = number(ts, args[2])
+	case "reset":
+		service.ResetAfter = config.Duration(span(ts, args[2]))
 	case "drain":
 		service.DrainDeadline = config.Duration(span(ts, args[2]))
 	default:
@@ -258,6 +263,17 @@
 	ts.Check(s.bench.Publish(s.documents))
 }
 
+// report BACKEND healthy|unhealthy|shedding [SPAN] has the balancers that fetch the
+// backend server's reports get this one every two seconds for a span.
+func (s *stage) report(ts *testscript.TestScript, _ bool, args []string) {
+	report := place.Report{Healthy: args[1] != "unhealthy", Shedding: args[1] == "shedding"}
+	until := time.Minute
+	if len(args) > 2 {
+		until = span(ts, args[2])
+	}
+	s.bench.Report(flow.BackendKey(flow.NameKey(args[0])), report, until)
+}
+
 func (s *stage) halt(_ *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
 		s.bench.StopServer(name)
--- a/internal/core/traffic.go
+++ b/internal/core/traffic.go
@@ -288,6 +288,11 @@
 		c.forget(p.slot, p.id, record)
 		return
 	}
+	if c.deadServer(p.service, backend, p.now) {
+		c.reject(p, "backend server is dead")
+		c.forget(p.slot, p.id, record)
+		return
+	}
 	opened := record.State == flow.Opening
 	before := record
 	record.Seen = c.second(p.now)
@@ -383,7 +388,7 @@
 		return
 	}
 	backend := p.service.ByKey(p.slot.base(p.service, p.number))
-	if backend == nil {
+	if backend == nil || c.deadServer(p.service, backend, p.now) {
 		c.reject(p, "nobody knows the flow")
 		return
 	}
@@ -563,6 +568,15 @@
 	return now.Sub(gauge.LeavingSince(now)) > time.Duration(service.DrainDeadline)
 }
 
+// deadServer reports whether the rules have the flows of an unhealthy backend
+// server reset.
+func (c *Core) deadServer(service *config.CompiledService, backend *config.CompiledBackend, now time.Time) bool {
+	if service.ResetAfter == 0 {
+		return false
+	}
+	return c.placer.GaugeOf(service, backend).Dead(now, time.Duration(service.ResetAfter))
+}
+
 // logFlow writes the line of a decision.
 func (c *Core) logFlow(message string, p *passage, backend *config.CompiledBackend, reason string) {
 	log := c.settings.Decisions
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -20,6 +20,7 @@
 	"wigeonmoor.example/internal/core"
 	"wigeonmoor.example/internal/flow"
 	"wigeonmoor.example/internal/packet"
+	"wigeonmoor.example/internal/place"
 )
 
 // Config sets a bench up.
@@ -50,7 +51,9 @@
 	loop     Loop
 	cut      map[[2]string]bool
 	bundle   config.Bundle
-	servers  map[netip.AddrPort]*server
+	// goneBytes is what balancers sent that have left.
+	goneBytes int64
+	servers   map[netip.AddrPort]*server
 	// PlatformDown keeps publications from every balancer.
 	PlatformDown bool
 }
@@ -173,6 +176,7 @@
 }
 
 func (b *Bench) remove(gone *Node) {
+	b.goneBytes += gone.Core.Counters.ControlBytes.Load()
 	for index, node := range b.Nodes {
 		if node == gone {
 			b.Nodes = append(b.Nodes[:index:index], b.Nodes[index+1:]...)
@@ -366,7 +370,7 @@
 
 // ControlBytes returns the control bytes that all balancers have sent.
 func (b *Bench) ControlBytes() int64 {
-	var total int64
+	total := b.goneBytes
 	for _, node := range b.Nodes {
 		total += node.Core.Counters.ControlBytes.Load()
 	}
@@ -382,3 +386,21 @@
 func (n *Node) Alive() bool {
 	return n.alive
 }
+
+// reportPeriod is how often a backend server's load report is fetched.
+const reportPeriod = 2 * time.Second
+
+// Report has the balancers that fetch a backend server's report get this one, again
+// and again for a span.
+func (b *Bench) Report(backend flow.BackendKey, report place.Report, span time.Duration) {
+	if span <= 0 {
+		return
+	}
+	for _, node := range b.Nodes {
+		if node.alive && node.Core.Probes(backend) {
+			report.At = time.Now()
+			b.deliver(node, func() { b.carryOut(node, node.Core.TakeReport(backend, report)) })
+		}
+	}
+	b.after(reportPeriod, func() { b.Report(backend, report, span-reportPeriod) })
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -85,7 +85,9 @@
 	window    atomic.Int64
 	startedAt time.Time
 	leavingAt atomic.Int64
-	report    atomic.Pointer[Report]
+	// unhealthyAt is when reports began to be unhealthy, zero while they are not.
+	unhealthyAt atomic.Int64
+	report      atomic.Pointer[Report]
 }
 
 // LeavingSince returns when the backend server was first seen to be leaving.
@@ -126,6 +128,18 @@
 		return
 	}
 	g.report.Store(&report)
+	if report.Healthy {
+		g.unhealthyAt.Store(0)
+		return
+	}
+	g.unhealthyAt.CompareAndSwap(0, report.At.UnixNano())
+}
+
+// Dead reports whether fresh reports have said for longer than a span that the
+// backend server is unhealthy.
+func (g *Gauge) Dead(now time.Time, span time.Duration) bool {
+	since := g.unhealthyAt.Load()
+	return since != 0 && g.fresh(now) != nil && now.Sub(time.Unix(0, since)) > span
 }
 
 // fresh returns the report while it may be believed.
