Split the core's grown files by duty

Change: load reports, view, ageing, configuration relay, chain and refusals each have a file that opens with what it does. No behaviour changes.

--- a/internal/core/traffic.go
+++ b/internal/core/traffic.go
@@ -419,71 +419,6 @@
 	c.put(p.slot, p.id, record)
 }
 
-// sendAlong sends an exception's packet to its backend server by way of the
-// slot's replicas.
-func (c *Core) sendAlong(p *passage, backend *config.CompiledBackend) {
-	install := wire.Install{Backend: backend.Key}
-	for _, replica := range p.view.owners[p.number].Replicas {
-		if replica != c.key && p.view.peers[replica].reachable {
-			install.Chain[install.Length] = replica
-			install.Length++
-		}
-	}
-	c.passAlong(p, install, backend)
-}
-
-// passAlong sends an exception's packet to the next replica of its chain that
-// can be reached, or at the chain's end to the backend server.
-func (c *Core) passAlong(p *passage, install wire.Install, backend *config.CompiledBackend) {
-	for install.Length > 0 {
-		next := p.view.peers[install.Pop()]
-		if !next.reachable {
-			continue
-		}
-		p.out.install(next.address, install, p.packet.Bytes)
-		action := &p.out.List[len(p.out.List)-1]
-		c.spend(action.headerLength - wire.HandBytes)
-		return
-	}
-	c.forward(p, backend)
-}
-
-// install takes an exception on record and sends its packet on.
-func (c *Core) install(p *packet.Packet, install wire.Install, out *Actions) {
-	pass, ok := c.start(p, out)
-	if !ok {
-		return
-	}
-	defer pass.slot.mutex.Unlock()
-	backend := pass.service.ByKey(install.Backend)
-	if backend == nil {
-		// The configuration that names the backend server has not arrived here.
-		// The caller sends its first packet again.
-		c.Counters.DroppedBackend.Add(1)
-		return
-	}
-	record, known := pass.slot.flows.Get(pass.id)
-	if known && pass.slot.held && record.Owned() && record.Backend != install.Backend && record.State != flow.Closed {
-		// This balancer has decided for the flow as its owner since.
-		c.Counters.Conflicts.Add(1)
-		if decided := pass.service.ByKey(record.Backend); decided != nil {
-			c.forward(&pass, decided)
-		}
-		return
-	}
-	kind := flow.Replica
-	if pass.slot.held {
-		kind = flow.Exception
-	}
-	c.put(pass.slot, pass.id, flow.Record{
-		Backend: install.Backend,
-		Service: pass.service.Key,
-		Seen:    c.second(pass.now),
-		Kind:    kind,
-	})
-	c.passAlong(&pass, install, backend)
-}
-
 // learn remembers an owner's answer.
 func (c *Core) learn(answer wire.Answer) {
 	compiled := c.Compiled()
@@ -519,64 +454,6 @@
 	p.out.forward(backend, p.packet.Bytes)
 }
 
-// refuse tells the caller that its first packet was not sent on. It stays silent
-// where an owner before this one may have sent it on.
-func (c *Core) refuse(p *passage, reason string) {
-	if p.now.Before(p.slot.refuseAt) || !p.packet.First && p.service.Protocol == flow.TCP {
-		c.Counters.DroppedLimit.Add(1)
-		c.logFlow("place: packet dropped", p, nil, reason)
-		return
-	}
-	c.Counters.Refused.Add(1)
-	c.logFlow("place: flow refused", p, nil, reason)
-	c.reply(p)
-}
-
-// reject resets a flow that cannot go on, so that its caller need not wait.
-func (c *Core) reject(p *passage, reason string) {
-	c.Counters.Reset.Add(1)
-	c.logFlow("route: flow reset", p, nil, reason)
-	c.reply(p)
-}
-
-func (c *Core) reply(p *passage) {
-	if p.packet.Last {
-		return
-	}
-	data, err := packet.NewParser().Reject(p.packet.Bytes)
-	if err != nil {
-		c.Counters.DroppedMalform.Add(1)
-		return
-	}
-	p.out.back(data)
-}
-
-// forget deletes a record and has the replicas delete an exception's copies.
-func (c *Core) forget(s *slot, id flow.ID, record flow.Record) {
-	if record.Kind == flow.Exception {
-		s.removed = append(s.removed, uint32(id))
-	}
-	c.remove(s, id)
-}
-
-// drainEnded reports whether flows may be cut off a leaving backend server.
-func (c *Core) drainEnded(service *config.CompiledService, backend *config.CompiledBackend, now time.Time) bool {
-	if service.DrainDeadline == 0 {
-		return false
-	}
-	gauge := c.placer.GaugeOf(service, backend)
-	return now.Sub(gauge.LeavingSince(now)) > time.Duration(service.DrainDeadline)
-}
-
-// deadServer reports whether the rules have the flows of an unhealthy backend
-// server reset.
-func (c *Core) deadServer(service *config.CompiledService, backend *config.CompiledBackend, now time.Time) bool {
-	if service.ResetAfter == 0 {
-		return false
-	}
-	return c.placer.GaugeOf(service, backend).Dead(now, time.Duration(service.ResetAfter))
-}
-
 // logFlow writes the line of a decision.
 func (c *Core) logFlow(message string, p *passage, backend *config.CompiledBackend, reason string) {
 	log := c.settings.Decisions
