--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -35,7 +35,7 @@
 func TestProblems(t *testing.T) {
 	expectProblems(t, "service/planning", "", "", "")
 	expectProblems(t, "service/planning", `"Weight": 100`, `"Wieght": 100`,
-		`service/planning:20: unknown field "Wieght" (fields are written as in docs/CONFIGURATION.md)`)
+		`service/planning:21: unknown field "Wieght" (fields are written as in docs/CONFIGURATION.md)`)
 	expectProblems(t, "service/planning", `"State": "Active"`, `"State": "Going"`,
 		`service/planning: Backends[0].State: "Going" is not a state (use "Active" or "Leaving")`)
 	expectProblems(t, "service/planning", `"Weight": 100`, `"Weight": 0`,
