--- a/internal/core/slot.go
+++ b/internal/core/slot.go
@@ -23,7 +23,9 @@
 	// synced: this replica holds all of the owner's exceptions.
 	synced bool
 	// former: owned or replicated the slot until a short while ago.
-	former   bool
+	former bool
+	// flows stands here so that what every packet needs lies in one cache line.
+	flows    flow.Table
 	lapsesAt time.Time
 	// settledAt is when retransmissions to the owner before have ended.
 	settledAt time.Time
@@ -33,7 +35,6 @@
 	doubtUntil time.Time
 	// knownSince is when this balancer began to see all flows of the slot.
 	knownSince time.Time
-	flows      flow.Table
 	// cells holds the defaults of unrecorded flows where they differ from the
 	// configuration in force: flows placed before a change stay where they are.
 	cells map[flow.ServiceKey]flow.BackendKey
