drain-watch ends although the list names a balancer that is gone

Ruled out: taking the balancers' word alone, as a missing one may own flows. Change: the backend server's own report has to say none where somebody is missing.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -121,6 +121,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	encoder := json.NewEncoder(w)
 	encoder.SetIndent("", "  ")
+	encoder.SetEscapeHTML(false)
 	_ = encoder.Encode(value)
 }
 
--- a/wigeonctl/internal/fleet/fleet.go
+++ b/wigeonctl/internal/fleet/fleet.go
@@ -81,10 +81,18 @@
 	Flows   int64
 	// Reported is the backend server's own count, which may lag.
 	Reported uint32
-	Asked    int
+	// HasReport: a balancer holds a report of the backend server.
+	HasReport bool
+	Asked     int
 	Answered int
 }
 
+// Ended reports whether nothing is left. Where a balancer did not answer, the
+// backend server's own count has to say so too.
+func (r Remaining) Ended() bool {
+	return r.Flows == 0 && r.Reported == 0 && (r.Answered == r.Asked || r.HasReport)
+}
+
 // Drain adds up what is left on a backend server.
 func Drain(ctx context.Context, addresses []string, backend string) (Remaining, error) {
 	remaining := Remaining{Backend: backend, Asked: len(addresses)}
@@ -103,6 +111,7 @@
 			remaining.State = string(status.State)
 			remaining.Flows += status.OwnedFlows
 			remaining.Reported = max(remaining.Reported, status.ReportOpen)
+			remaining.HasReport = remaining.HasReport || status.ReportAge != "none"
 		}
 	}
 	if remaining.Answered == 0 {
--- a/wigeonctl/seeing.go
+++ b/wigeonctl/seeing.go
@@ -79,6 +79,7 @@
 func printJSON(value any) error {
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
+	encoder.SetEscapeHTML(false)
 	return encoder.Encode(value)
 }
 
@@ -161,7 +162,7 @@
 		}
 		fmt.Printf("%s: %s, %d flows on record, %d reported, %d of %d balancers answered\n",
 			remaining.Backend, remaining.State, remaining.Flows, remaining.Reported, remaining.Answered, remaining.Asked)
-		if remaining.Flows == 0 && remaining.Reported == 0 && remaining.Answered == remaining.Asked {
+		if remaining.Ended() {
 			return nil
 		}
 		select {
