--- a/wigeonctl/internal/fleet/fleet.go
+++ b/wigeonctl/internal/fleet/fleet.go
@@ -84,7 +84,7 @@
 	// HasReport: a balancer holds a report of the backend server.
 	HasReport bool
 	Asked     int
-	Answered int
+	Answered  int
 }
 
 // Ended reports whether nothing is left. Where a balancer did not answer, the
