--- a/wigeonlab/internal/stand/platform.go
+++ b/wigeonlab/internal/stand/platform.go
@@ -67,6 +67,10 @@
 
 // Serve answers until the context ends.
 func (p *Platform) Serve(ctx context.Context, listen netip.AddrPort) error {
+	return serveHTTP(ctx, listen, p.routes())
+}
+
+func (p *Platform) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/values/{name...}", p.get)
 	mux.HandleFunc("PUT /v1/values/{name...}", p.put)
@@ -76,7 +80,7 @@
 		defer p.mutex.Unlock()
 		_, _ = fmt.Fprintln(w, p.total)
 	})
-	return serveHTTP(ctx, listen, mux)
+	return mux
 }
 
 func serveHTTP(ctx context.Context, listen netip.AddrPort, handler http.Handler) error {
--- /dev/null
+++ b/wigeonlab/internal/stand/platform_test.go
@@ -0,0 +1,87 @@
+package stand
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"wigeonmoor.example/internal/config"
+	"wigeonmoor.example/internal/watch"
+	"wigeonmoor.example/wigeonlab/internal/deploy"
+)
+
+// platform starts a stand-in with a deployment's values.
+func platform(t *testing.T) (deploy.Deployment, string, netip.AddrPort) {
+	t.Helper()
+	deployment, err := deploy.ByName("horodis")
+	if err != nil {
+		t.Fatal(err)
+	}
+	directory := t.TempDir()
+	if err := deployment.Write(directory); err != nil {
+		t.Fatal(err)
+	}
+	stand, err := NewPlatform(directory + "/published")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(stand.routes())
+	t.Cleanup(server.Close)
+	return deployment, directory + "/published", netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// A watcher gets the configuration, then a published change, and the list.
+func TestWatchAndPublish(t *testing.T) {
+	is := is.New(t)
+	deployment, directory, address := platform(t)
+	bundles, lists := make(chan config.Bundle), make(chan config.Instances, 1)
+	problems := make(chan error, 16)
+	watch.New(t.Context(), watch.Config{
+		URL:       "http://" + address.String(),
+		Fabric:    deployment.Instances().Instances[0].Fabric,
+		Reader:    func() bool { return true },
+		Have:      func() (config.Bundle, bool) { return config.Bundle{}, false },
+		Bundle:    func(bundle config.Bundle) { bundles <- bundle },
+		Instances: func(list config.Instances) { lists <- list },
+		Failed:    func(err error) { problems <- err },
+	})
+	first := <-bundles
+	is.Equal(first.Index.Version, config.Version(1))
+	_, err := first.Read()
+	is.NoErr(err)
+	is.Equal(len((<-lists).Instances), 8)
+
+	read, err := config.ReadDirectory(directory)
+	is.NoErr(err)
+	documents, err := read.Read()
+	is.NoErr(err)
+	documents.Services[0].Backends[0].State = config.Leaving
+	data, err := json.Marshal(documents.Services[0])
+	is.NoErr(err)
+	path := filepath.Join(directory, "service", documents.Services[0].Name+".json")
+	is.NoErr(os.WriteFile(path, data, 0o644))
+	version, err := Publish(t.Context(), address, directory)
+	is.NoErr(err)
+	is.Equal(version, config.Version(2))
+	second := <-bundles
+	is.Equal(second.Index.Version, config.Version(2))
+	is.Equal(len(second.Since(first).Changed), 1) // one service's value
+}
+
+// While the platform is down its answers are errors that name the value.
+func TestPlatformDown(t *testing.T) {
+	is := is.New(t)
+	_, _, address := platform(t)
+	response, err := http.Post("http://"+address.String()+"/stand/down?Down=true", "", nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	_, err = watch.NewReader("http://"+address.String()).Get(t.Context(), config.IndexName, 0, 0)
+	is.True(err != nil && strings.Contains(err.Error(), "get index"))
+}
