--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,106 @@
+package place_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wigeonmoor.example/internal/config"
+	"wigeonmoor.example/internal/flow"
+	"wigeonmoor.example/internal/model"
+	"wigeonmoor.example/internal/place"
+)
+
+// newPlacer returns a placer for the planning service after an edit.
+func newPlacer(t *testing.T, edit func(service *config.Service)) (*place.Placer, *config.CompiledService) {
+	t.Helper()
+	documents := model.TimerFleet().Documents()
+	edit(&documents.Services[0])
+	bundle, err := config.Render(documents, config.Bundle{}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	compiled, err := config.Compile(bundle, "fabric", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := place.New(place.Config{Rand: rand.New(rand.NewPCG(1, 2))})
+	p.SetConfig(compiled, true)
+	return p, compiled.ByAddress(flow.TCP, documents.Services[0].Address)
+}
+
+// choose places flows whose default is one backend server and returns how many
+// went to it. Nothing is counted as open, so that load plays no part.
+func choose(p *place.Placer, service *config.CompiledService, to *config.CompiledBackend, count int) int {
+	random := rand.New(rand.NewPCG(3, 4))
+	got := 0
+	for range count {
+		choice := p.Choose(place.Request{Service: service, Default: to.Key, Flow: flow.ID(random.Uint64())})
+		if choice.Backend == to {
+			got++
+		}
+	}
+	return got
+}
+
+// A new backend server's share of its own defaults grows evenly over ColdStart.
+func TestColdStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := model.TimerFleet()
+		documents := fleet.Documents()
+		documents.Services[0].ColdStart = config.Duration(40 * time.Second)
+		p, _ := newPlacer(t, func(service *config.Service) { *service = documents.Services[0] })
+		documents.Services[0].Backends = append(documents.Services[0].Backends, fleet.Backend("planning", 0, 50))
+		bundle, err := config.Render(documents, config.Bundle{}, 2)
+		is.NoErr(err)
+		compiled, err := config.Compile(bundle, "fabric", nil)
+		is.NoErr(err)
+		p.SetConfig(compiled, false)
+		service := compiled.ByAddress(flow.TCP, documents.Services[0].Address)
+		added := service.Backends[15]
+		for _, expected := range []int{50, 250, 500, 750, 1000} {
+			got := choose(p, service, added, 1000)
+			is.True(got >= expected-60 && got <= expected+60) // share of 1,000 at this age
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
+
+// A limit on new flows sends the rest elsewhere, and refuses when all are at it.
+func TestNewFlowLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, service := newPlacer(t, func(service *config.Service) { service.Limits.NewPerSecond = 10 })
+		is.Equal(choose(p, service, service.Backends[0], 50), 10)
+		refused := 0
+		for number := range 1000 {
+			choice := p.Choose(place.Request{Service: service, Default: service.Backends[number%15].Key, Flow: flow.ID(number)})
+			if choice.Backend == nil {
+				refused++
+				is.Equal(choice.Reason, place.ReasonNone)
+			}
+		}
+		is.True(refused >= 1000-14*10) // no backend server got more than its limit
+		time.Sleep(time.Second)
+		is.Equal(choose(p, service, service.Backends[0], 10), 10) // the next second counts anew
+	})
+}
+
+// Reports keep flows away while they are fresh, and are not believed for long.
+func TestReportsAgeOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, service := newPlacer(t, func(*config.Service) {})
+		backend := service.Backends[3]
+		p.Gauge(backend.Key).SetReport(place.Report{At: time.Now()})
+		is.Equal(choose(p, service, backend, 100), 0) // unhealthy
+		p.Gauge(backend.Key).SetReport(place.Report{At: time.Now().Add(-time.Minute), Healthy: true})
+		is.Equal(choose(p, service, backend, 100), 0) // an older report does not undo it
+		time.Sleep(6 * time.Second)
+		is.Equal(choose(p, service, backend, 100), 100) // the report is too old
+	})
+}
