Links to a replaced instance go to its new address

Cause: found by reading: a link's queue kept the address of its first message, so an instance that is replaced under its name within a minute got nothing. Before: TestReplacedPeer waits for ever. After: it passes.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -56,7 +56,13 @@
 	listener net.Listener
 	ctx      context.Context
 	mutex    sync.Mutex
-	senders  map[flow.MemberKey]chan *wire.Envelope
+	senders  map[destination]chan *wire.Envelope
+}
+
+// destination is a peer at an address: a replaced instance may keep its name.
+type destination struct {
+	peer    flow.MemberKey
+	address netip.AddrPort
 }
 
 // New listens for peers until the context ends.
@@ -65,7 +71,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("link: listen for peers on %s: %w", settings.Listen, err)
 	}
-	l := &Links{settings: settings, listener: listener, ctx: ctx, senders: make(map[flow.MemberKey]chan *wire.Envelope)}
+	l := &Links{settings: settings, listener: listener, ctx: ctx, senders: make(map[destination]chan *wire.Envelope)}
 	go func() {
 		<-ctx.Done()
 		_ = listener.Close()
@@ -87,11 +93,12 @@
 func (l *Links) Send(to flow.MemberKey, address netip.AddrPort, envelope *wire.Envelope) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	queue := l.senders[to]
+	where := destination{to, address}
+	queue := l.senders[where]
 	if queue == nil {
 		queue = make(chan *wire.Envelope, queueMessages)
-		l.senders[to] = queue
-		go func() { l.serveQueue(to, address, queue) }()
+		l.senders[where] = queue
+		go func() { l.serveQueue(where, queue) }()
 	}
 	select {
 	case queue <- envelope:
@@ -101,7 +108,7 @@
 }
 
 // serveQueue sends a peer's messages until there have been none for a while.
-func (l *Links) serveQueue(to flow.MemberKey, address netip.AddrPort, queue chan *wire.Envelope) {
+func (l *Links) serveQueue(to destination, queue chan *wire.Envelope) {
 	var conn io.WriteCloser
 	defer func() {
 		if conn != nil {
@@ -119,14 +126,14 @@
 		case envelope := <-queue:
 			var err error
 			if conn == nil {
-				conn, err = l.dial(address)
+				conn, err = l.dial(to.address)
 			}
 			if err == nil {
 				err = writeFrame(conn, envelope)
 			}
 			if err != nil {
 				l.Dropped.Add(1)
-				l.settings.Failed(fmt.Errorf("link: send to %s: %w", address, err))
+				l.settings.Failed(fmt.Errorf("link: send to %s: %w", to.address, err))
 				if conn != nil {
 					_ = conn.Close()
 				}
@@ -137,7 +144,7 @@
 }
 
 // retire ends a queue unless something has come in meanwhile.
-func (l *Links) retire(to flow.MemberKey, queue chan *wire.Envelope) bool {
+func (l *Links) retire(to destination, queue chan *wire.Envelope) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if len(queue) > 0 {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -72,6 +72,19 @@
 	}
 }
 
+// An instance that was replaced under its name gets its messages at the new address.
+func TestReplacedPeer(t *testing.T) {
+	before, after, there := freeAddress(t), freeAddress(t), freeAddress(t)
+	listed := map[flow.MemberKey]netip.AddrPort{1: there}
+	_, first, _ := open(t, 2, before, listed)
+	_, second, _ := open(t, 2, after, listed)
+	sender, _, _ := open(t, 1, there, nil)
+	sender.Send(2, before, &wire.Envelope{})
+	<-first
+	sender.Send(2, after, &wire.Envelope{})
+	<-second
+}
+
 // A second listener on an address is an error that names the step and the address.
 func TestAddressInUse(t *testing.T) {
 	address := freeAddress(t)
