--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The door to this repository. Every target works on a fresh clone.
 MODULES = ./... ./wigeond/... ./wigeonctl/... ./wigeonlab/...
 
-.PHONY: build demo test check measure capacity bench properties scenarios fuzz
+.PHONY: build demo test check measure capacity bench properties scenarios fuzz generate
 
 build:
 	go build -o bin/ ./wigeond ./wigeonctl ./wigeonlab
@@ -41,3 +41,9 @@
 # fuzz runs each fuzz target for a while.
 fuzz:
 	./script/fuzz.sh
+
+# generate writes the messages' code anew; it needs Debian's protobuf-compiler. The
+# code is committed, so that nothing else needs it.
+generate:
+	go build -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go
+	PATH="$$PWD/bin:$$PATH" protoc -I internal/wire --go_out=internal/wire --go_opt=paths=source_relative internal/wire/wire.proto
