UDP flows stay where they are when their owner changes

Cause: UDP has no first packets. An owner that took a slot over placed a silent flow by load once eight seconds had passed, although it was on the slot's base. Ruled out: lost exceptions (all were on record). Change: for UDP, a flow that is not on record counts as an older one until the idle timeout has passed since the takeover, and goes to the base. Conclusion: right after a takeover UDP services are balanced by hashing alone.

--- a/internal/core/flows_test.go
+++ b/internal/core/flows_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"wigeonmoor.example/internal/config"
+	"wigeonmoor.example/internal/flow"
 	"wigeonmoor.example/internal/model"
 )
 
@@ -167,3 +168,43 @@
 		settle(t, b)
 	})
 }
+
+// TestDatagramFlowsStay: each UDP flow is seen by one backend server, silent ones
+// too, while backend servers change and owners die.
+func TestDatagramFlowsStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := model.TimerFleet()
+		documents := fleet.Documents()
+		documents.Services[0].Protocol = flow.UDP
+		b, err := model.New(model.Config{
+			Seed:                  9,
+			Instances:             fleet.Instances(),
+			Documents:             documents,
+			Delay:                 hopDelay,
+			ControlBytesPerSecond: controlBytes,
+			Log:                   logr.Discard(),
+		})
+		is.NoErr(err)
+		b.Run(5 * time.Second)
+		send := func(first, count int) {
+			for number := first; number < first+count; number++ {
+				is.NoErr(b.Callers.SendDatagram(callerOf(number), documents.Services[0].Address))
+			}
+			b.Run(time.Second)
+		}
+		const flows = 600
+		send(0, flows)
+		send(0, flows/2)
+		b.Kill(b.Nodes[0])
+		b.Run(15 * time.Second)
+		send(flows, flows)
+		// Half of the flows have been silent since before the owner died.
+		send(0, flows)
+		b.Leave(b.Nodes[2])
+		b.Run(15 * time.Second)
+		send(0, 2*flows)
+		is.Equal(b.Callers.TwoServed, 0) // flows seen by two backend servers
+		is.Equal(b.Callers.Misrouted, 0) // packets at another service's backend server
+	})
+}
--- a/internal/core/traffic.go
+++ b/internal/core/traffic.go
@@ -346,7 +346,7 @@
 		Service:     p.service,
 		Default:     c.defaultFor(p, base),
 		Flow:        p.id,
-		DefaultOnly: p.now.Before(p.slot.settledAt),
+		DefaultOnly: p.ambiguous(),
 	})
 	if choice.Backend == nil {
 		c.refuse(p, string(choice.Reason))
@@ -373,11 +373,20 @@
 	c.forward(p, choice.Backend)
 }
 
-// defaultFor returns the default that new flows are compared with. While
-// retransmissions to the owner before may arrive it is the base, if that may get
-// new flows at all.
+// ambiguous reports whether a flow that is not on record may have been decided for
+// by the owner before: for TCP while first packets may be retransmitted, for UDP,
+// which has no first packets, until a silent flow would have been forgotten.
+func (p *passage) ambiguous() bool {
+	if p.service.Protocol == flow.UDP {
+		return p.now.Sub(p.slot.knownSince) < time.Duration(p.service.IdleTimeout)
+	}
+	return p.now.Before(p.slot.settledAt)
+}
+
+// defaultFor returns the default that new flows are compared with. While the flow
+// may be an older one it is the base, if that may get new flows at all.
 func (c *Core) defaultFor(p *passage, base flow.BackendKey) flow.BackendKey {
-	if p.now.Before(p.slot.settledAt) && p.service.Eligible(base) {
+	if p.ambiguous() && p.service.Eligible(base) {
 		return base
 	}
 	return p.service.Defaults[p.number]
--- a/internal/model/caller.go
+++ b/internal/model/caller.go
@@ -185,6 +185,16 @@
 	}
 }
 
+// SendDatagram sends one UDP datagram of the flow between two ends.
+func (c *Callers) SendDatagram(from, service netip.AddrPort) error {
+	data, err := packet.Datagram{From: from, To: service, Payload: payloadOf(0)}.Bytes()
+	if err != nil {
+		return err
+	}
+	c.settings.Send(data)
+	return nil
+}
+
 // Quiet ends all talk: requests that wait are still answered, none are added.
 func (c *Callers) Quiet() {
 	c.quiet = true
--- a/internal/model/endpoint.go
+++ b/internal/model/endpoint.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 
+	"wigeonmoor.example/internal/flow"
 	"wigeonmoor.example/internal/packet"
 )
 
@@ -44,8 +45,8 @@
 	return len(e.connections)
 }
 
-// Receive takes a packet and returns the answer, nil if there is none. A packet
-// for another service is an error.
+// Receive takes a packet and returns the answer, nil if there is none, as for UDP.
+// A packet for another service is an error.
 func (e *Endpoint) Receive(data []byte) ([]byte, error) {
 	var parsed packet.Packet
 	if err := e.parser.Parse(data, &parsed); err != nil {
@@ -54,6 +55,12 @@
 	if parsed.Key.Service != e.settings.Service {
 		return nil, fmt.Errorf("model: endpoint of %s got a packet for %s", e.settings.Service, parsed.Key.Service)
 	}
+	if parsed.Key.Protocol == flow.UDP {
+		if e.settings.Accepted != nil {
+			e.settings.Accepted(parsed.Key.Caller, 0)
+		}
+		return nil, nil
+	}
 	segment := e.parser.Segment(parsed)
 	answer, ok := e.answer(segment)
 	if !ok {
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -186,10 +186,14 @@
 		network, lowest = ip, ip
 	}
 	for _, layer := range upper {
-		if tcp, ok := layer.(*layers.TCP); ok {
-			if err := tcp.SetNetworkLayerForChecksum(network); err != nil {
-				return nil, fmt.Errorf("packet: checksum: %w", err)
-			}
+		transport, ok := layer.(interface {
+			SetNetworkLayerForChecksum(gopacket.NetworkLayer) error
+		})
+		if !ok {
+			continue
+		}
+		if err := transport.SetNetworkLayerForChecksum(network); err != nil {
+			return nil, fmt.Errorf("packet: checksum: %w", err)
 		}
 	}
 	buffer := gopacket.NewSerializeBuffer()
@@ -201,6 +205,19 @@
 	return buffer.Bytes(), nil
 }
 
+// Datagram describes a UDP datagram to build, for the stand-ins and tests.
+type Datagram struct {
+	From    netip.AddrPort
+	To      netip.AddrPort
+	Payload []byte
+}
+
+// Bytes returns the datagram as an IP packet.
+func (d Datagram) Bytes() ([]byte, error) {
+	udp := &layers.UDP{SrcPort: layers.UDPPort(d.From.Port()), DstPort: layers.UDPPort(d.To.Port())}
+	return serialize(flow.Key{Service: d.From, Caller: d.To}, layers.IPProtocolUDP, udp, gopacket.Payload(d.Payload))
+}
+
 // Segment describes a TCP segment to build, for the stand-ins and tests.
 type Segment struct {
 	From    netip.AddrPort
