--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 # capacity prints what a balancer spends on control at four sizes.
 capacity:
 	go test ./internal/core -run 'TestCapacity' -measure -v -timeout 30m | grep '^capacity:'
-	go test ./internal/core ./internal/ring ./internal/config -run '^$$' -bench 'Capacity' -benchtime 200ms
+	go test ./internal/core ./internal/ring ./internal/config ./internal/probe -run '^$$' -bench 'Capacity' -benchtime 200ms
 
 # bench runs the benchmarks of the packet path.
 bench:
