--- a/internal/core/measure_test.go
+++ b/internal/core/measure_test.go
@@ -27,9 +27,10 @@
 	newPerSecond int
 	warm         time.Duration
 	span         time.Duration
-	change       func(b *model.Bench, documents config.Documents, fleet model.FleetConfig)
-	talk         time.Duration
-	weights      bool
+	// drain marks a backend server as leaving when the load is warm.
+	drain   bool
+	talk    time.Duration
+	weights bool
 }
 
 // outcome is a line of make measure.
@@ -38,12 +39,13 @@
 	imbalance, worst           float64
 	exceptionShare             float64
 	controlPerSecond           float64
-	convergeSeconds            float64
+	// converge is the time until a change was in force everywhere, in seconds.
+	converge string
 }
 
 func (o outcome) print(name, policy string, seed uint64) {
-	fmt.Printf("measure: Experiment=%s Policy=%s Seed=%d BrokenFlows=%d Doubled=%d Misrouted=%d ImbalanceMaxOverMean=%.4f WorstMaxOverMean=%.4f ExceptionShare=%.4f ControlBytesPerSecond=%.0f ConvergeSeconds=%.2f\n",
-		name, policy, seed, o.broken, o.doubled, o.misrouted, o.imbalance, o.worst, o.exceptionShare, o.controlPerSecond, o.convergeSeconds)
+	fmt.Printf("measure: Experiment=%s Policy=%s Seed=%d BrokenFlows=%d Doubled=%d Misrouted=%d ImbalanceMaxOverMean=%.4f WorstMaxOverMean=%.4f ExceptionShare=%.4f ControlBytesPerSecond=%.0f ConvergeSeconds=%s\n",
+		name, policy, seed, o.broken, o.doubled, o.misrouted, o.imbalance, o.worst, o.exceptionShare, o.controlPerSecond, o.converge)
 }
 
 // imbalance returns the largest load of a service's backend servers by weight
@@ -65,6 +67,7 @@
 
 // run plays an experiment with one policy.
 func run(t *testing.T, e experiment, seed uint64, hashOnly bool) (result outcome) {
+	result.converge = "none"
 	synctest.Test(t, func(t *testing.T) {
 		fleet := model.TimerFleet()
 		documents := fleet.Documents()
@@ -93,8 +96,9 @@
 		b.Run(e.warm)
 		bytes := b.ControlBytes()
 		placed, exceptions := placements(b)
-		if e.change != nil {
-			e.change(b, documents, fleet)
+		if e.drain {
+			documents = change(documents, fleet, 0)
+			result.converge = fmt.Sprintf("%.2f", converge(t, b, documents).Seconds())
 		}
 		samples := 0
 		for range int(e.span / time.Second) {
@@ -133,6 +137,7 @@
 		{name: "Balance30000", openFlows: 30000, newPerSecond: 24000, warm: 75 * time.Second, span: 12 * time.Second},
 		{name: "Balance30000Slow", openFlows: 30000, newPerSecond: 500, warm: 90 * time.Second, span: 30 * time.Second},
 		{name: "Balance3000", openFlows: 3000, newPerSecond: 50, warm: 90 * time.Second, span: 30 * time.Second},
+		{name: "DrainUnderLoad", openFlows: 3000, newPerSecond: 300, warm: 25 * time.Second, span: 15 * time.Second, drain: true},
 		{name: "BalanceWeights", openFlows: 30000, newPerSecond: 3000, warm: 70 * time.Second, span: 20 * time.Second, weights: true},
 	}
 	for _, e := range experiments {
