Mend what stands twice, found by reading as a newcomer

Found and searched were one question with two names; losing touch published the view twice; slots were walked by hand where eachSlot does it; three benchmarks opened their flows in the same lines; a comment named a function that is gone.

--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -65,14 +65,19 @@
 	}
 }
 
-func BenchmarkPacketKnownFlow(b *testing.B) {
-	c, service := lone(b, logr.Logger{})
-	actions := &core.Actions{}
+// openFlows opens benchFlows flows.
+func openFlows(c *core.Core, service config.Service, actions *core.Actions) {
 	for number := range benchFlows {
 		first := packetOf(service, number, true)
 		c.Packet(&first, actions)
 		actions.Reset()
 	}
+}
+
+func BenchmarkPacketKnownFlow(b *testing.B) {
+	c, service := lone(b, logr.Logger{})
+	actions := &core.Actions{}
+	openFlows(c, service, actions)
 	// The packet itself is in the cache, as it has just been parsed. Flows come in an
 	// order that no cache could know: a stride that is prime to their number.
 	const stride = 104_729
@@ -134,11 +139,7 @@
 		actions := &core.Actions{}
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		for number := range benchFlows {
-			first := packetOf(service, number, true)
-			c.Packet(&first, actions)
-			actions.Reset()
-		}
+		openFlows(c, service, actions)
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/benchFlows, "B/flow")
@@ -149,11 +150,7 @@
 func BenchmarkCapacityTick(b *testing.B) {
 	c, service := lone(b, logr.Logger{})
 	actions := &core.Actions{}
-	for number := range benchFlows {
-		first := packetOf(service, number, true)
-		c.Packet(&first, actions)
-		actions.Reset()
-	}
+	openFlows(c, service, actions)
 	for b.Loop() {
 		c.Tick()
 	}
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -150,7 +150,6 @@
 	case member.DeclaredDead:
 		c.log.Info("member: others declared this balancer dead, its slots are claimed again")
 		c.demote(true)
-		c.publishView()
 	case member.ViewChanged:
 		// Several changes come together, and the next tick is soon.
 		c.viewChanged = true
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -356,14 +356,11 @@
 // HeldSlots returns the number of slots that this balancer decides for.
 func (c *Core) HeldSlots() int {
 	held := 0
-	for index := range c.slots {
-		s := &c.slots[index]
-		s.mutex.Lock()
+	c.eachSlot(func(s *slot) {
 		if s.held {
 			held++
 		}
-		s.mutex.Unlock()
-	}
+	})
 	return held
 }
 
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -19,17 +19,15 @@
 	c.claim = nil
 	clear(c.syncs)
 	clear(c.rebases)
-	for index := range c.slots {
-		s := &c.slots[index]
-		s.mutex.Lock()
+	lapsesAt := time.Now().Add(lapseTime)
+	c.eachSlot(func(s *slot) {
 		s.former = continuous && (s.held || s.former)
-		s.lapsesAt = time.Now().Add(lapseTime)
+		s.lapsesAt = lapsesAt
 		s.synced = false
 		s.claiming = false
 		c.release(s)
 		c.requeue(s)
-		s.mutex.Unlock()
-	}
+	})
 	c.publishView()
 }
 
--- a/internal/daemon/relay_test.go
+++ b/internal/daemon/relay_test.go
@@ -19,7 +19,7 @@
 // relayFlows is how many flows the forwarded packets belong to.
 const relayFlows = 4096
 
-// sourceOf floods a socket with packets of open flows until it is closed.
+// flood fills a socket with packets of open flows until it is closed.
 func flood(b *testing.B, to netip.AddrPort, packets [][]byte, stop *atomic.Bool) {
 	conn, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(to))
 	if err != nil {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -292,18 +292,13 @@
 			return m.leaseUntil, false
 		}
 	}
-	return time.Time{}, m.searched()
+	return time.Time{}, m.Found()
 }
 
-// searched reports whether others had the time to answer since the start or wake.
-func (m *Members) searched() bool {
-	return m.answered || time.Since(m.startedAt) >= JoinTimeout
-}
-
-// Found reports whether the balancer has reached another, or has looked for long
-// enough to serve alone.
+// Found reports whether the balancer has reached another since its start or wake,
+// or has looked for long enough to serve alone.
 func (m *Members) Found() bool {
-	return m.searched()
+	return m.answered || time.Since(m.startedAt) >= JoinTimeout
 }
 
 // Drain returns and clears what is to be sent and acted on.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -180,10 +180,10 @@
 
 // others is what the other balancers have open, by service and backend index.
 type others struct {
-	at       time.Time
-	balancer int
-	open     map[flow.ServiceKey][]int64
-	told     map[flow.ServiceKey][]int64
+	at        time.Time
+	balancers int
+	open      map[flow.ServiceKey][]int64
+	told      map[flow.ServiceKey][]int64
 }
 
 // gaugeTable lists the gauges of each service by backend index.
@@ -307,7 +307,7 @@
 
 // SetOthers takes what other balancers have open, and what this one told them.
 func (p *Placer) SetOthers(balancers int, open, told map[flow.ServiceKey][]int64) {
-	p.others.Store(&others{at: time.Now(), balancer: balancers, open: open, told: told})
+	p.others.Store(&others{at: time.Now(), balancers: balancers, open: open, told: told})
 }
 
 // Request asks for the backend server of a new flow.
@@ -422,7 +422,7 @@
 	result.others = told.open[service.Key]
 	if len(told.told[service.Key]) == len(result.gauges) {
 		result.told = told.told[service.Key]
-		result.follow = followShare * Ratio(told.balancer)
+		result.follow = followShare * Ratio(told.balancers)
 	}
 	return result
 }
