The owner machinery is the package owned

Cause: the platform's packets carry a flow tag, so owners, claims and exceptions are not needed there. They stay for the interface of today, as one of two bindings. Change: internal/core is renamed to internal/owned; nothing else changes.

--- a/Makefile
+++ b/Makefile
@@ -19,24 +19,24 @@
 
 # measure prints a line an experiment; it takes some minutes.
 measure:
-	go test ./internal/core -run 'TestMeasure' -measure -v -parallel 3 -timeout 30m | grep '^measure:'
+	go test ./internal/owned -run 'TestMeasure' -measure -v -parallel 3 -timeout 30m | grep '^measure:'
 
 # capacity prints what a balancer spends on control at four sizes.
 capacity:
-	go test ./internal/core -run 'TestCapacity' -measure -v -timeout 30m | grep '^capacity:'
-	go test ./internal/core ./internal/ring ./internal/config ./internal/probe -run '^$$' -bench 'Capacity' -benchtime 200ms
+	go test ./internal/owned -run 'TestCapacity' -measure -v -timeout 30m | grep '^capacity:'
+	go test ./internal/owned ./internal/ring ./internal/config ./internal/probe -run '^$$' -bench 'Capacity' -benchtime 200ms
 
 # bench runs the benchmarks of the packet path.
 bench:
-	go test ./internal/core ./internal/daemon -run '^$$' -bench 'Packet|Relay|Exception|Memory' -benchmem
+	go test ./internal/owned ./internal/daemon -run '^$$' -bench 'Packet|Relay|Exception|Memory' -benchmem
 
 # properties runs the properties longer than make test does.
 properties:
-	go test ./internal/core -run 'TestProperty' -checks 300 -propertyseed 0 -timeout 60m
+	go test ./internal/owned -run 'TestProperty' -checks 300 -propertyseed 0 -timeout 60m
 
 # scenarios runs every scenario, also those of other seeds.
 scenarios:
-	go test ./internal/core -run 'TestScenarios' -v
+	go test ./internal/owned -run 'TestScenarios' -v
 
 # fuzz runs each fuzz target for a while.
 fuzz:
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -22,8 +22,8 @@
 	"time"
 
 	"wigeonmoor.example/internal/config"
-	"wigeonmoor.example/internal/core"
 	"wigeonmoor.example/internal/flow"
+	"wigeonmoor.example/internal/owned"
 	"wigeonmoor.example/internal/place"
 )
 
@@ -37,7 +37,7 @@
 type Config struct {
 	Listen   netip.AddrPort
 	Instance config.Instance
-	Core     *core.Core
+	Core     *owned.Core
 	// Control runs something on the control goroutine and waits for it.
 	Control func(func())
 	// Totals returns the counters of the parts around the core.
@@ -181,7 +181,7 @@
 }
 
 func (s *server) backends(w http.ResponseWriter, _ *http.Request) {
-	var backends []core.BackendStatus
+	var backends []owned.BackendStatus
 	s.settings.Control(func() { backends = s.settings.Core.Backends() })
 	answer(w, backends)
 }
@@ -192,7 +192,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	var explanation core.Explanation
+	var explanation owned.Explanation
 	s.settings.Control(func() { explanation, err = s.settings.Core.Explain(key) })
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusNotFound)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,9 +21,9 @@
 
 	"wigeonmoor.example/internal/admin"
 	"wigeonmoor.example/internal/config"
-	"wigeonmoor.example/internal/core"
 	"wigeonmoor.example/internal/flow"
 	"wigeonmoor.example/internal/link"
+	"wigeonmoor.example/internal/owned"
 	"wigeonmoor.example/internal/place"
 	"wigeonmoor.example/internal/probe"
 	"wigeonmoor.example/internal/setup"
@@ -40,11 +40,11 @@
 type Daemon struct {
 	settings     setup.Settings
 	log          logr.Logger
-	core         *core.Core
+	core         *owned.Core
 	traffic      *socket
 	peer         *socket
 	links        *link.Links
-	queue        chan func() core.Output
+	queue        chan func() owned.Output
 	stopped      chan struct{}
 	sendFailures atomic.Int64
 	queueDropped atomic.Int64
@@ -91,7 +91,7 @@
 	d := &Daemon{
 		settings: settings,
 		log:      log,
-		core: core.New(core.Config{
+		core: owned.New(owned.Config{
 			Self:                  settings.Instance,
 			Rand:                  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			Log:                   log,
@@ -99,7 +99,7 @@
 			ControlBytesPerSecond: settings.ControlBytesPerSecond,
 			MaxFlows:              settings.MaxFlows,
 		}),
-		queue:   make(chan func() core.Output, controlQueue),
+		queue:   make(chan func() owned.Output, controlQueue),
 		stopped: make(chan struct{}),
 	}
 	if err := d.open(ctx); err != nil {
@@ -127,7 +127,7 @@
 		Listen:  d.settings.Instance.Address,
 		Allowed: d.core.Listed,
 		Receive: func(from flow.MemberKey, envelope *wire.Envelope) {
-			d.do(func() core.Output { return d.core.Envelope(from, envelope) })
+			d.do(func() owned.Output { return d.core.Envelope(from, envelope) })
 		},
 		Failed: func(err error) { d.log.Info("link: failed", "Problem", err.Error()) },
 	})
@@ -167,14 +167,14 @@
 			return compiled.Bundle, true
 		},
 		Bundle: func(bundle config.Bundle) {
-			d.do(func() core.Output {
+			d.do(func() owned.Output {
 				// The core has logged and counted a refusal.
 				output, _ := d.core.SetBundle(bundle, "platform")
 				return output
 			})
 		},
 		Instances: func(list config.Instances) {
-			d.do(func() core.Output { return d.core.SetInstances(list) })
+			d.do(func() owned.Output { return d.core.SetInstances(list) })
 		},
 		Failed: func(err error) { d.log.Info("watch: failed", "Problem", err.Error()) },
 	})
@@ -182,14 +182,14 @@
 		Compiled: d.core.Compiled,
 		Assigned: d.core.Probes,
 		Report: func(backend flow.BackendKey, report place.Report) {
-			d.do(func() core.Output { return d.core.TakeReport(backend, report) })
+			d.do(func() owned.Output { return d.core.TakeReport(backend, report) })
 		},
 	})
 }
 
 // do queues work for the control goroutine. When it cannot keep up, work is
 // dropped and counted: everything that comes this way is repeated by its sender.
-func (d *Daemon) do(work func() core.Output) {
+func (d *Daemon) do(work func() owned.Output) {
 	select {
 	case d.queue <- work:
 	default:
@@ -200,10 +200,10 @@
 // ask runs something on the control goroutine and waits for it.
 func (d *Daemon) ask(work func()) {
 	done := make(chan struct{})
-	wrapped := func() core.Output {
+	wrapped := func() owned.Output {
 		work()
 		close(done)
-		return core.Output{}
+		return owned.Output{}
 	}
 	select {
 	case d.queue <- wrapped:
@@ -219,7 +219,7 @@
 // control is the control goroutine.
 func (d *Daemon) control(ctx context.Context) {
 	defer close(d.stopped)
-	ticker := time.NewTicker(core.TickPeriod)
+	ticker := time.NewTicker(owned.TickPeriod)
 	defer ticker.Stop()
 	send := d.newSender()
 	for {
@@ -241,7 +241,7 @@
 	}
 }
 
-func (d *Daemon) carryOut(send *sender, output core.Output) {
+func (d *Daemon) carryOut(send *sender, output owned.Output) {
 	send.send(&output.Actions)
 	for _, message := range output.Probes {
 		data, err := proto.MarshalOptions{}.MarshalAppend([]byte{byte(wire.KindProbe)}, message.Probe)
@@ -264,7 +264,7 @@
 	d.do(d.core.Leave)
 	linger := time.After(d.settings.Linger)
 	patience := time.After(d.settings.Linger + handoverWait)
-	ticker := time.NewTicker(core.TickPeriod)
+	ticker := time.NewTicker(owned.TickPeriod)
 	defer ticker.Stop()
 	lingered := false
 	for {
--- a/internal/daemon/relay_test.go
+++ b/internal/daemon/relay_test.go
@@ -11,8 +11,8 @@
 	"golang.org/x/net/ipv4"
 
 	"wigeonmoor.example/internal/config"
-	"wigeonmoor.example/internal/core"
 	"wigeonmoor.example/internal/model"
+	"wigeonmoor.example/internal/owned"
 	"wigeonmoor.example/internal/packet"
 )
 
@@ -51,7 +51,7 @@
 }
 
 // forward runs one traffic goroutine's loop for b.N packets.
-func forward(b *testing.B, decide func(parser *packet.Parser, data []byte, parsed *packet.Packet, actions *core.Actions), packets [][]byte) {
+func forward(b *testing.B, decide func(parser *packet.Parser, data []byte, parsed *packet.Packet, actions *owned.Actions), packets [][]byte) {
 	in, peer := local(b), local(b)
 	defer func() { _, _ = in.udp.Close(), peer.udp.Close() }()
 	var stop atomic.Bool
@@ -64,7 +64,7 @@
 	batch := newBatch()
 	parsed := make([]packet.Packet, batchSize)
 	parser := packet.NewParser()
-	actions := &core.Actions{}
+	actions := &owned.Actions{}
 	b.ResetTimer()
 	for done := 0; done < b.N; {
 		count, err := in.conn.ReadBatch(batch, 0)
@@ -83,14 +83,14 @@
 
 // relayCore returns a core whose backend servers are all at one sink, and packets
 // of flows that are open on it.
-func relayCore(b *testing.B, sink netip.AddrPort) (*core.Core, [][]byte) {
+func relayCore(b *testing.B, sink netip.AddrPort) (*owned.Core, [][]byte) {
 	fleet := model.TimerFleet()
 	documents := fleet.Documents()
 	documents.Services = documents.Services[:1]
 	documents.Services[0].Backends = documents.Services[0].Backends[:1]
 	documents.Services[0].Backends[0].Address = sink
 	instance := fleet.Instance(0)
-	c := core.New(core.Config{Self: instance, Rand: rand.New(rand.NewPCG(1, 2)), ControlBytesPerSecond: 4000})
+	c := owned.New(owned.Config{Self: instance, Rand: rand.New(rand.NewPCG(1, 2)), ControlBytesPerSecond: 4000})
 	bundle, err := config.Render(documents, config.Bundle{}, 1)
 	if err != nil {
 		b.Fatal(err)
@@ -100,10 +100,10 @@
 	}
 	for c.HeldSlots() == 0 {
 		c.Tick()
-		time.Sleep(core.TickPeriod)
+		time.Sleep(owned.TickPeriod)
 	}
 	parser := packet.NewParser()
-	actions := &core.Actions{}
+	actions := &owned.Actions{}
 	var packets [][]byte
 	for number := range relayFlows {
 		segment := packet.Segment{
@@ -137,8 +137,8 @@
 	defer func() { _ = sink.udp.Close() }()
 	_, packets := relayCore(b, addressOf(sink))
 	to := addressOf(sink)
-	forward(b, func(_ *packet.Parser, data []byte, _ *packet.Packet, actions *core.Actions) {
-		actions.List = append(actions.List, core.Action{Kind: core.Forward, To: to, Packet: data})
+	forward(b, func(_ *packet.Parser, data []byte, _ *packet.Packet, actions *owned.Actions) {
+		actions.List = append(actions.List, owned.Action{Kind: owned.Forward, To: to, Packet: data})
 	}, packets)
 }
 
@@ -147,7 +147,7 @@
 	sink := local(b)
 	defer func() { _ = sink.udp.Close() }()
 	c, packets := relayCore(b, addressOf(sink))
-	forward(b, func(parser *packet.Parser, data []byte, parsed *packet.Packet, actions *core.Actions) {
+	forward(b, func(parser *packet.Parser, data []byte, parsed *packet.Packet, actions *owned.Actions) {
 		if err := parser.Parse(data, parsed); err == nil {
 			c.Packet(parsed, actions)
 		}
--- a/internal/daemon/shell.go
+++ b/internal/daemon/shell.go
@@ -12,7 +12,7 @@
 	"golang.org/x/net/ipv4"
 	"google.golang.org/protobuf/proto"
 
-	"wigeonmoor.example/internal/core"
+	"wigeonmoor.example/internal/owned"
 	"wigeonmoor.example/internal/packet"
 	"wigeonmoor.example/internal/wire"
 )
@@ -103,20 +103,20 @@
 }
 
 // send writes the actions in as few calls as there are sockets.
-func (s *sender) send(actions *core.Actions) {
+func (s *sender) send(actions *owned.Actions) {
 	s.toTraffic.length, s.toPeer.length = 0, 0
 	for index := range actions.List {
 		action := &actions.List[index]
 		switch action.Kind {
-		case core.Forward:
+		case owned.Forward:
 			message := s.toTraffic.next()
 			message.Addr = s.address(action.To)
 			message.Buffers = append(message.Buffers, action.Packet)
-		case core.Return:
+		case owned.Return:
 			message := s.toTraffic.next()
 			message.Addr = s.back
 			message.Buffers = append(message.Buffers, action.Packet)
-		case core.Hand:
+		case owned.Hand:
 			message := s.toPeer.next()
 			message.Addr = s.address(action.To)
 			message.Buffers = append(message.Buffers, action.Header())
@@ -149,7 +149,7 @@
 	send := d.newSender()
 	batch := newBatch()
 	parsed := make([]packet.Packet, batchSize)
-	actions := &core.Actions{}
+	actions := &owned.Actions{}
 	for {
 		count, err := d.traffic.conn.ReadBatch(batch, 0)
 		if err != nil {
@@ -173,7 +173,7 @@
 	parser := packet.NewParser()
 	send := d.newSender()
 	batch := newBatch()
-	actions := &core.Actions{}
+	actions := &owned.Actions{}
 	var scratch packet.Packet
 	for {
 		count, err := d.peer.conn.ReadBatch(batch, 0)
@@ -211,7 +211,7 @@
 		d.core.Counters.DroppedMalform.Add(1)
 		return
 	}
-	d.do(func() core.Output { return d.core.Probe(probe) })
+	d.do(func() owned.Output { return d.core.Probe(probe) })
 }
 
 func (d *Daemon) newSender() *sender {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -17,8 +17,8 @@
 	"github.com/go-logr/logr"
 
 	"wigeonmoor.example/internal/config"
-	"wigeonmoor.example/internal/core"
 	"wigeonmoor.example/internal/flow"
+	"wigeonmoor.example/internal/owned"
 	"wigeonmoor.example/internal/packet"
 	"wigeonmoor.example/internal/place"
 )
@@ -60,7 +60,7 @@
 
 // Node is one balancer.
 type Node struct {
-	Core     *core.Core
+	Core     *owned.Core
 	Instance config.Instance
 	// Stale keeps publications from this balancer alone.
 	Stale  bool
@@ -129,7 +129,7 @@
 	node.alive, node.frozen, node.sprayed = true, false, true
 	node.inbox = nil
 	seed := b.random.Uint64()
-	node.Core = core.New(core.Config{
+	node.Core = owned.New(owned.Config{
 		Self:                  node.Instance,
 		Rand:                  rand.New(rand.NewPCG(seed, 2)),
 		Log:                   b.settings.Log.WithValues("Instance", node.Instance.Name),
@@ -149,7 +149,7 @@
 	if !node.frozen {
 		b.carryOut(node, node.Core.Tick())
 	}
-	b.after(core.TickPeriod, func() { b.tick(node, life) })
+	b.after(owned.TickPeriod, func() { b.tick(node, life) })
 }
 
 // Kill ends a balancer at once. The fabric notices after a while.
@@ -303,14 +303,14 @@
 			if err := node.parser.Parse(data, &parsed); err != nil {
 				panic(fmt.Sprintf("model: caller sent a bad packet: %v", err))
 			}
-			var actions core.Actions
+			var actions owned.Actions
 			node.Core.Packet(&parsed, &actions)
 			b.carryOutActions(node, actions)
 		})
 	})
 }
 
-func (b *Bench) carryOut(node *Node, output core.Output) {
+func (b *Bench) carryOut(node *Node, output owned.Output) {
 	b.carryOutActions(node, output.Actions)
 	for _, message := range output.Probes {
 		b.datagram(node, message.To, func(to *Node) { b.carryOut(to, to.Core.Probe(message.Probe)) })
@@ -327,17 +327,17 @@
 	}
 }
 
-func (b *Bench) carryOutActions(node *Node, actions core.Actions) {
+func (b *Bench) carryOutActions(node *Node, actions owned.Actions) {
 	for _, action := range actions.List {
 		switch action.Kind {
-		case core.Forward:
+		case owned.Forward:
 			b.toServer(node, action)
-		case core.Return:
+		case owned.Return:
 			b.after(b.settings.Delay, func() { b.Callers.Receive(action.Packet) })
-		case core.Hand:
+		case owned.Hand:
 			data := append(append([]byte(nil), action.Header()...), action.Packet...)
 			b.datagram(node, action.To, func(to *Node) {
-				var actions core.Actions
+				var actions owned.Actions
 				var parsed packet.Packet
 				if err := to.Core.Datagram(to.parser, &parsed, data, node.Instance.Address, &actions); err == nil {
 					b.carryOutActions(to, actions)
--- a/internal/model/server.go
+++ b/internal/model/server.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"wigeonmoor.example/internal/config"
-	"wigeonmoor.example/internal/core"
+	"wigeonmoor.example/internal/owned"
 )
 
 // server is one backend server of a bench.
@@ -92,7 +92,7 @@
 }
 
 // toServer carries a packet to a backend server.
-func (b *Bench) toServer(from *Node, action core.Action) {
+func (b *Bench) toServer(from *Node, action owned.Action) {
 	target := b.servers[action.To]
 	domain := config.Instance{Domain: target.backend.Domain}
 	if target.dead || b.separated(from.Instance, domain) || b.lost() {
--- a/internal/core/bench_test.go
+++ b/internal/owned/bench_test.go
@@ -1,4 +1,4 @@
-package core_test
+package owned_test
 
 import (
 	"io"
@@ -11,21 +11,21 @@
 	"github.com/go-logr/logr"
 
 	"wigeonmoor.example/internal/config"
-	"wigeonmoor.example/internal/core"
 	"wigeonmoor.example/internal/flow"
 	"wigeonmoor.example/internal/logs"
 	"wigeonmoor.example/internal/model"
+	"wigeonmoor.example/internal/owned"
 	"wigeonmoor.example/internal/packet"
 )
 
 const benchFlows = 300_000
 
 // lone returns a balancer that owns all slots.
-func lone(b *testing.B, decisions logr.Logger) (*core.Core, config.Service) {
+func lone(b *testing.B, decisions logr.Logger) (*owned.Core, config.Service) {
 	b.Helper()
 	fleet := model.TimerFleet()
 	instance := fleet.Instance(0)
-	c := core.New(core.Config{
+	c := owned.New(owned.Config{
 		Self:                  instance,
 		Rand:                  rand.New(rand.NewPCG(1, 2)),
 		Log:                   logr.Discard(),
@@ -42,7 +42,7 @@
 	c.SetInstances(config.Instances{Instances: []config.Instance{instance}})
 	for c.HeldSlots() == 0 {
 		c.Tick()
-		time.Sleep(core.TickPeriod)
+		time.Sleep(owned.TickPeriod)
 	}
 	return c, fleet.Documents().Services[0]
 }
@@ -66,7 +66,7 @@
 }
 
 // openFlows opens benchFlows flows.
-func openFlows(c *core.Core, service config.Service, actions *core.Actions) {
+func openFlows(c *owned.Core, service config.Service, actions *owned.Actions) {
 	for number := range benchFlows {
 		first := packetOf(service, number, true)
 		c.Packet(&first, actions)
@@ -76,7 +76,7 @@
 
 func BenchmarkPacketKnownFlow(b *testing.B) {
 	c, service := lone(b, logr.Logger{})
-	actions := &core.Actions{}
+	actions := &owned.Actions{}
 	openFlows(c, service, actions)
 	// The packet itself is in the cache, as it has just been parsed. Flows come in an
 	// order that no cache could know: a stride that is prime to their number.
@@ -94,7 +94,7 @@
 
 func benchmarkNew(b *testing.B, decisions logr.Logger) {
 	c, service := lone(b, decisions)
-	actions := &core.Actions{}
+	actions := &owned.Actions{}
 	number := 0
 	b.ReportAllocs()
 	for b.Loop() {
@@ -136,7 +136,7 @@
 	var before, after runtime.MemStats
 	for b.Loop() {
 		c, service := lone(b, logr.Logger{})
-		actions := &core.Actions{}
+		actions := &owned.Actions{}
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		openFlows(c, service, actions)
@@ -149,7 +149,7 @@
 
 func BenchmarkCapacityTick(b *testing.B) {
 	c, service := lone(b, logr.Logger{})
-	actions := &core.Actions{}
+	actions := &owned.Actions{}
 	openFlows(c, service, actions)
 	for b.Loop() {
 		c.Tick()
--- a/internal/core/chain.go
+++ b/internal/owned/chain.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 // The chain: an exception's packet travels owner, replica, replica, backend server,
 // and each of them records the exception before it passes the packet on.
--- a/internal/core/claim.go
+++ b/internal/owned/claim.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 // Claims move ownership. The balancer that the view names asks all others; each
 // answers with what it knows, and whoever holds a slot grants it with the answer.
--- a/internal/core/control.go
+++ b/internal/owned/control.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 // The control goroutine's entry points. Each gathers what is to be sent in an
 // Output, which finish returns.
--- a/internal/core/core.go
+++ b/internal/owned/core.go
@@ -1,4 +1,4 @@
-// Package core decides where packets go. It has no sockets and no files: typed
+// Package owned decides where packets go. It has no sockets and no files: typed
 // messages go in, typed actions come out, and time is the runtime's clock.
 //
 // This is the boundary at which a test bench attaches. For each balancer it makes
@@ -19,7 +19,7 @@
 // everybody reachable what they know of the slot. The owner before grants it and
 // from then on hands packets over; all others tell what they remember. Packets
 // wait until all have answered.
-package core
+package owned
 
 import (
 	"math"
--- a/internal/core/counters.go
+++ b/internal/owned/counters.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 import (
 	"reflect"
--- a/internal/core/counts.go
+++ b/internal/owned/counts.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 // Open flows told between balancers, for placement. The period follows from the
 // budget: at eight balancers a quarter of a second, at 145 with a thousand backend
--- a/internal/core/datagram_test.go
+++ b/internal/owned/datagram_test.go
@@ -1,4 +1,4 @@
-package core_test
+package owned_test
 
 import (
 	"errors"
@@ -12,17 +12,17 @@
 	"google.golang.org/protobuf/proto"
 
 	"wigeonmoor.example/internal/config"
-	"wigeonmoor.example/internal/core"
 	"wigeonmoor.example/internal/flow"
 	"wigeonmoor.example/internal/model"
+	"wigeonmoor.example/internal/owned"
 	"wigeonmoor.example/internal/packet"
 	"wigeonmoor.example/internal/wire"
 )
 
 // pair returns a balancer that serves alone and knows one other from the list.
-func pair(t testing.TB) (*core.Core, model.FleetConfig) {
+func pair(t testing.TB) (*owned.Core, model.FleetConfig) {
 	fleet := model.TimerFleet()
-	c := core.New(core.Config{Self: fleet.Instance(0), Rand: rand.New(rand.NewPCG(1, 2)), ControlBytesPerSecond: 4000})
+	c := owned.New(owned.Config{Self: fleet.Instance(0), Rand: rand.New(rand.NewPCG(1, 2)), ControlBytesPerSecond: 4000})
 	bundle, err := config.Render(fleet.Documents(), config.Bundle{}, 1)
 	if err != nil {
 		t.Fatal(err)
@@ -42,7 +42,7 @@
 	if err != nil {
 		return
 	}
-	var actions core.Actions
+	var actions owned.Actions
 	var parsed packet.Packet
 	data, _ := packet.Segment{From: netip.MustParseAddrPort("203.0.113.9:40000"), To: fleet.Documents().Services[0].Address, SYN: true}.Bytes()
 	if err := packet.NewParser().Parse(data, &parsed); err != nil {
@@ -57,11 +57,11 @@
 func TestStrangersAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c, fleet := pair(t)
-		var actions core.Actions
+		var actions owned.Actions
 		var scratch packet.Packet
 		data := wire.AppendAnswer(nil, wire.Answer{Flow: 1})
 		stranger := netip.MustParseAddrPort("203.0.113.1:7700")
-		if err := c.Datagram(packet.NewParser(), &scratch, data, stranger, &actions); !errors.Is(err, core.ErrStranger) {
+		if err := c.Datagram(packet.NewParser(), &scratch, data, stranger, &actions); !errors.Is(err, owned.ErrStranger) {
 			t.Fatalf("a stranger's datagram: %v", err)
 		}
 		if err := c.Datagram(packet.NewParser(), &scratch, data, fleet.Instance(1).Address, &actions); err != nil {
@@ -84,7 +84,7 @@
 	f.Add(append(wire.AppendHand(nil, 1), data...))
 	f.Add(append(wire.AppendInstall(nil, wire.Install{Backend: 5, Length: 1}), data...))
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		var actions core.Actions
+		var actions owned.Actions
 		var scratch packet.Packet
 		// It must not panic; errors are what most inputs deserve.
 		_ = c.Datagram(packet.NewParser(), &scratch, data, fleet.Instance(1).Address, &actions)
--- a/internal/core/explain.go
+++ b/internal/owned/explain.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 // What operators ask: where a flow goes and why, and what is known of backend
 // servers.
@@ -35,11 +35,11 @@
 func (c *Core) Explain(key flow.Key) (Explanation, error) {
 	v := c.view.Load()
 	if v.config == nil {
-		return Explanation{}, fmt.Errorf("core: explain %s: no configuration is in force", key)
+		return Explanation{}, fmt.Errorf("owned: explain %s: no configuration is in force", key)
 	}
 	service := v.config.ByAddress(key.Protocol, key.Service)
 	if service == nil {
-		return Explanation{}, fmt.Errorf("core: explain %s: no service has the address %s %s", key, key.Protocol, key.Service)
+		return Explanation{}, fmt.Errorf("owned: explain %s: no service has the address %s %s", key, key.Protocol, key.Service)
 	}
 	id := flow.Hash(v.config.HashSeed, key)
 	number := id.Slot()
--- a/internal/core/flows_test.go
+++ b/internal/owned/flows_test.go
@@ -1,4 +1,4 @@
-package core_test
+package owned_test
 
 import (
 	"testing"
--- a/internal/core/loads.go
+++ b/internal/owned/loads.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 // Load reports: those that this balancer fetched ride on its probes, and those that
 // ride on others' are believed while they are fresh.
--- a/internal/core/refuse.go
+++ b/internal/owned/refuse.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 // Refusals and resets. A refusal answers a first packet and says that nothing was
 // run, so it is given only where no balancer can have sent the packet on. A reset
--- a/internal/core/relay.go
+++ b/internal/owned/relay.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 // Configuration: it is put in force here and relayed between balancers as
 // differences from a version that both remember.
@@ -23,7 +23,7 @@
 	if err != nil {
 		c.Counters.ConfigRejected.Add(1)
 		c.log.Info("config: configuration rejected", "ConfigVersion", bundle.Index.Version, "Source", source, "Problems", err.Error())
-		return c.finish(), fmt.Errorf("core: take configuration %d from %s: %w", bundle.Index.Version, source, err)
+		return c.finish(), fmt.Errorf("owned: take configuration %d from %s: %w", bundle.Index.Version, source, err)
 	}
 	c.putInForce(before, compiled)
 	c.log.Info("config: configuration in force", "ConfigVersion", compiled.Version, "Source", source)
--- a/internal/core/slot.go
+++ b/internal/owned/slot.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 // A slot's state and the records in it. Every change of a record goes through put
 // or remove, which keep the counts of open flows that placement goes by.
--- a/internal/core/sweep.go
+++ b/internal/owned/sweep.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 // Ageing: records are deleted some slots at a time, and replicas hear in batches of
 // the exceptions that are gone.
--- a/internal/core/sync.go
+++ b/internal/owned/sync.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 // Replication beside the chain: Sync brings a new replica up to date, Rebase moves
 // a cell's base. Both are sent out of the budget and repeated until acknowledged.
--- a/internal/core/traffic.go
+++ b/internal/owned/traffic.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 // The way of a packet, on a traffic goroutine. Its slot is locked from look-up to
 // decision, which is short and touches nothing else, so that two packets of one
@@ -22,10 +22,10 @@
 const reuseIdle flow.Second = 60
 
 // ErrKind is returned by Datagram for kinds that the core does not take.
-var ErrKind = errors.New("core: datagram of unknown kind")
+var ErrKind = errors.New("owned: datagram of unknown kind")
 
 // ErrStranger is returned by Datagram for senders that are not on the list.
-var ErrStranger = errors.New("core: datagram of a sender that is not on the instance list")
+var ErrStranger = errors.New("owned: datagram of a sender that is not on the instance list")
 
 // passage is one packet on its way through the core.
 type passage struct {
--- a/internal/core/view.go
+++ b/internal/owned/view.go
@@ -1,4 +1,4 @@
-package core
+package owned
 
 // The view: who holds which slot. It only routes packets and says what to claim; who
 // decides for a slot is settled by claims, as views differ for a while.
--- a/wigeonctl/internal/fleet/fleet.go
+++ b/wigeonctl/internal/fleet/fleet.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"wigeonmoor.example/internal/admin"
-	"wigeonmoor.example/internal/core"
+	"wigeonmoor.example/internal/owned"
 )
 
 const (
@@ -98,7 +98,7 @@
 	remaining := Remaining{Backend: backend, Asked: len(addresses)}
 	known := false
 	for _, address := range addresses {
-		var backends []core.BackendStatus
+		var backends []owned.BackendStatus
 		if err := Get(ctx, address, "/backends", nil, &backends); err != nil {
 			continue
 		}
--- a/wigeonctl/seeing.go
+++ b/wigeonctl/seeing.go
@@ -15,7 +15,7 @@
 	"github.com/google/subcommands"
 
 	"wigeonmoor.example/internal/config"
-	"wigeonmoor.example/internal/core"
+	"wigeonmoor.example/internal/owned"
 	"wigeonmoor.example/wigeonctl/internal/fleet"
 )
 
@@ -129,7 +129,7 @@
 	query := url.Values{"Protocol": {s.protocol}, "Caller": {arguments[0]}, "Service": {arguments[1]}}
 	var first error
 	for _, address := range addresses {
-		var explanation core.Explanation
+		var explanation owned.Explanation
 		if err := fleet.Get(ctx, address, "/explain", query, &explanation); err != nil {
 			if first == nil {
 				first = err
