Thin whole path on the platform: tagged flows through platform/

Change: flows are bound by the tag that their packets carry (internal/tagged), what is published is replicated by revision (internal/state), read by one balancer of each failure domain (internal/source) and relayed with the load by datagrams (internal/gossip); internal/entry is the process, platform/ the adapter.

--- a/Makefile
+++ b/Makefile
@@ -46,4 +46,4 @@
 # code is committed, so that nothing else needs it.
 generate:
 	go build -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go
-	PATH="$$PWD/bin:$$PATH" protoc -I internal/wire --go_out=internal/wire --go_opt=paths=source_relative internal/wire/wire.proto
+	PATH="$$PWD/bin:$$PATH" protoc -I internal/wire --go_out=internal/wire --go_opt=paths=source_relative internal/wire/wire.proto internal/wire/gossip.proto
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,370 @@
+// Package entry runs a balancer whose flows are tagged: it puts sockets, the
+// platform's reader, active checks and the readiness answer around a tagged.Core and
+// a gossip.Node.
+//
+// One goroutine owns the control state and takes closures from a queue; one reads
+// callers' packets and decides for them. Everything else only fills the queue.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"wigeonmoor.example/internal/gossip"
+	"wigeonmoor.example/internal/health"
+	"wigeonmoor.example/internal/setup"
+	"wigeonmoor.example/internal/source"
+	"wigeonmoor.example/internal/state"
+	"wigeonmoor.example/internal/tagged"
+)
+
+const (
+	// controlQueue bounds the work that waits for the control goroutine.
+	controlQueue = 1024
+	// staleSpan is the age of the view's last confirmation at which a balancer that
+	// does not read for its failure domain asks the platform itself: a watch (1 s),
+	// a few rounds of gossip and a lost datagram.
+	staleSpan = 1800 * time.Millisecond
+	// staleSpread varies that, so that balancers do not all ask at once.
+	staleSpread = 400 * time.Millisecond
+	// checkLimit is the time in which a backend server's instance must accept a
+	// connection. Round trips are up to 3 ms between failure domains.
+	checkLimit = 250 * time.Millisecond
+	// startLimit is how long a starting balancer waits for the newest view before it
+	// is ready with what peers have told.
+	startLimit = 1500 * time.Millisecond
+	// settingsPeriod is how often the settings file is looked at, as it may change
+	// without a signal. Seeds are needed only by those who know nobody.
+	settingsPeriod = 2 * time.Second
+	// pauseLimit is the gap between two ticks at which the process counts as paused.
+	pauseLimit = time.Second
+)
+
+// Config sets a balancer up.
+type Config struct {
+	Settings setup.Settings
+	// Reload reads the settings again.
+	Reload func() (setup.Settings, error)
+	Log    logr.Logger
+	Codec  tagged.Codec
+	Store  source.Store
+	// ReadyPath is the path of the readiness answer.
+	ReadyPath string
+}
+
+// Entry is a running balancer.
+type Entry struct {
+	config  Config
+	log     logr.Logger
+	core    *tagged.Core
+	node    *gossip.Node
+	replica *state.Replica
+	traffic *net.UDPConn
+	peer    *net.UDPConn
+	queue   chan func()
+	started time.Time
+	span    time.Duration
+	clock   pauseClock
+
+	ready   atomic.Bool
+	leaving atomic.Bool
+	// reader, confirmed and reached mirror control state for other goroutines;
+	// confirmed is in nanoseconds since the start.
+	reader    atomic.Bool
+	confirmed atomic.Int64
+	reached   atomic.Uint64
+	loaded    atomic.Bool
+	dropped   atomic.Int64
+}
+
+// Run serves until SIGTERM and then until its callers have gone elsewhere. SIGHUP
+// reloads the settings.
+func Run(ctx context.Context, config Config, terminate, reload <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e, err := start(ctx, config)
+	if err != nil {
+		return err
+	}
+	s := config.Settings
+	e.log.Info("entry: started", "Instance", s.Instance.Name, "Domain", s.Instance.Domain, "Traffic", s.Traffic, "Peer", s.Instance.Address, "Ready", s.Ready)
+	ticker := time.NewTicker(settingsPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-reload:
+			e.reload()
+		case <-ticker.C:
+			e.reload()
+		case <-ctx.Done():
+			return nil
+		case <-terminate:
+			e.leave(terminate)
+			return nil
+		}
+	}
+}
+
+func start(ctx context.Context, config Config) (*Entry, error) {
+	settings := config.Settings
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	decisions := config.Log
+	if !settings.LogDecisions {
+		decisions = logr.Discard()
+	}
+	e := &Entry{
+		config:  config,
+		log:     config.Log,
+		replica: state.NewReplica(),
+		queue:   make(chan func(), controlQueue),
+		started: time.Now(),
+		span:    staleSpan + time.Duration(random.Int64N(int64(staleSpread))),
+		core: tagged.New(tagged.Config{
+			Domain:    settings.Instance.Domain,
+			MaxFlows:  settings.MaxFlows,
+			Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Log:       config.Log,
+			Decisions: decisions,
+		}),
+	}
+	var err error
+	e.node, err = gossip.New(gossip.Config{
+		Name:      settings.Instance.Name,
+		Domain:    settings.Instance.Domain,
+		Address:   settings.Instance.Address,
+		Seeds:     settings.SeedAddresses(),
+		Rand:      random,
+		Log:       config.Log,
+		Replica:   e.replica,
+		Loads:     e.core.Loads,
+		TakeLoads: e.core.TakeLoads,
+		Changed:   e.changed,
+		Confirmed: func(at time.Time) {
+			e.core.Confirm(at)
+			e.confirmed.Store(int64(at.Sub(e.started)))
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := e.open(ctx); err != nil {
+		return nil, err
+	}
+	go func() { e.control(ctx) }()
+	go func() { e.serveTraffic() }()
+	go func() { e.servePeers() }()
+	e.follow(ctx)
+	return e, nil
+}
+
+// open opens all listeners. They close with the context.
+func (e *Entry) open(ctx context.Context) error {
+	var err error
+	if e.traffic, err = listen(e.config.Settings.Traffic); err != nil {
+		return err
+	}
+	if e.peer, err = listen(e.config.Settings.Instance.Address); err != nil {
+		return err
+	}
+	go func() {
+		<-ctx.Done()
+		_ = e.traffic.Close()
+		_ = e.peer.Close()
+	}()
+	return e.serveHTTP(ctx)
+}
+
+func listen(address netip.AddrPort) (*net.UDPConn, error) {
+	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, fmt.Errorf("entry: listen on %s: %w", address, err)
+	}
+	return udp, nil
+}
+
+// follow starts to read the platform.
+func (e *Entry) follow(ctx context.Context) {
+	source.New(ctx, source.Config{
+		Store: e.config.Store,
+		Wanted: func() bool {
+			return e.reader.Load() || !e.loaded.Load() || e.age() > e.span
+		},
+		Since: func() (state.Revision, bool) {
+			return state.Revision(e.reached.Load()), e.loaded.Load()
+		},
+		Take: func(reading source.Reading) {
+			e.do(func() { e.take(reading) })
+		},
+		Failed:   func(err error) { e.log.Info("source: platform lost", "Problem", err.Error()) },
+		Regained: func() { e.log.Info("source: platform regained") },
+	})
+}
+
+// age returns how long ago the view was last known to be the newest.
+func (e *Entry) age() time.Duration {
+	return time.Since(e.started) - time.Duration(e.confirmed.Load())
+}
+
+func (e *Entry) take(reading source.Reading) {
+	for _, problem := range reading.Problems {
+		e.log.Info("source: published item refused", "Problem", problem.Error())
+	}
+	e.send(e.node.TakeReading(reading.Delta, time.Now()))
+}
+
+// changed puts the replica's new content in force.
+func (e *Entry) changed(source string, now time.Time) {
+	table := e.replica.Table()
+	e.core.SetTable(table, now)
+	e.log.Info("state: view in force", "Revision", table.Revision, "Version", table.Version, "Backends", len(table.Entries()), "Source", source)
+	e.reached.Store(uint64(e.replica.Revision()))
+	e.loaded.Store(e.replica.Loaded())
+}
+
+// do queues work for the control goroutine. When it cannot keep up work is dropped
+// and counted: all of it is repeated by whoever sent it.
+func (e *Entry) do(work func()) {
+	select {
+	case e.queue <- work:
+	default:
+		e.dropped.Add(1)
+	}
+}
+
+// control is the control goroutine.
+func (e *Entry) control(ctx context.Context) {
+	ticker := time.NewTicker(tagged.TickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.tick(ctx)
+		case work := <-e.queue:
+			work()
+		}
+	}
+}
+
+func (e *Entry) tick(ctx context.Context) {
+	now := time.Now()
+	if pause := e.clock.pause(now); pause > pauseLimit {
+		e.log.Info("entry: was paused", "Span", pause.String())
+		e.core.Hold(now)
+		e.confirmed.Store(int64(now.Sub(e.started) - e.span))
+	}
+	e.replica.Forget(now)
+	e.send(e.node.Tick(now))
+	e.reader.Store(e.node.Reader(now))
+	e.reached.Store(uint64(e.replica.Revision()))
+	output := e.core.Tick(now)
+	e.sendResets(output.Resets)
+	for _, check := range output.Checks {
+		e.startCheck(ctx, check)
+	}
+	e.review(now)
+}
+
+// review decides whether the platform may send packets here.
+func (e *Entry) review(now time.Time) {
+	fresh := !e.node.Confirmed().IsZero() || now.Sub(e.started) > startLimit
+	ready := e.replica.Loaded() && fresh && !e.leaving.Load() && e.core.Reachable()
+	if ready != e.ready.Load() {
+		e.log.Info("entry: readiness changed", "Ready", ready, "Loaded", e.replica.Loaded(), "Leaving", e.leaving.Load(), "Reachable", e.core.Reachable(), "Uptime", now.Sub(e.started).String())
+		e.ready.Store(ready)
+	}
+}
+
+// startCheck opens a connection to a backend server to see whether it lives.
+func (e *Entry) startCheck(ctx context.Context, check tagged.Check) {
+	go func() {
+		dialer := net.Dialer{Timeout: checkLimit}
+		conn, err := dialer.DialContext(ctx, "tcp4", check.Address.String())
+		result := health.Answered
+		switch {
+		case err == nil:
+			_ = conn.Close()
+		case errors.Is(err, errRefused):
+			result = health.Refused
+		default:
+			result = health.Silent
+		}
+		e.core.Checked(check.Backend, result, time.Now())
+	}()
+}
+
+func (e *Entry) send(messages []gossip.Message) {
+	for _, message := range messages {
+		if _, err := e.peer.WriteToUDPAddrPort(message.Data, message.To); err != nil && !errors.Is(err, net.ErrClosed) {
+			e.log.V(1).Info("gossip: datagram not sent", "Peer", message.To, "Problem", err.Error())
+		}
+	}
+}
+
+// maxPeerBytes is the size of the largest datagram between balancers: gossip of 150
+// backend servers is about 2 KB.
+const maxPeerBytes = 16 << 10
+
+// servePeers takes other balancers' datagrams until the socket is closed.
+func (e *Entry) servePeers() {
+	buffer := make([]byte, maxPeerBytes)
+	for {
+		count, from, err := e.peer.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		data := append([]byte(nil), buffer[:count]...)
+		e.do(func() { e.receive(data, from) })
+	}
+}
+
+func (e *Entry) receive(data []byte, from netip.AddrPort) {
+	messages, err := e.node.Receive(data, from, time.Now())
+	if err != nil {
+		e.log.Info("gossip: datagram refused", "Problem", err.Error())
+	}
+	e.send(messages)
+}
+
+// reload takes over what may change without a restart.
+func (e *Entry) reload() {
+	settings, err := e.config.Reload()
+	if err != nil {
+		e.log.Error(err, "entry: settings refused, the ones in force stay")
+		return
+	}
+	if slices.Equal(settings.Seeds, e.config.Settings.Seeds) {
+		return
+	}
+	e.config.Settings.Seeds = settings.Seeds
+	e.log.Info("entry: settings reloaded", "Seeds", settings.SeedAddresses())
+	e.do(func() { e.node.SetSeeds(settings.SeedAddresses()) })
+}
+
+// leave answers that this balancer is not ready and goes on forwarding until the
+// platform has dropped it, which takes two missed calls at half a second.
+func (e *Entry) leave(again <-chan os.Signal) {
+	e.log.Info("entry: leaving", "Linger", e.config.Settings.Linger.String())
+	e.leaving.Store(true)
+	e.ready.Store(false)
+	e.do(func() { e.send(e.node.Leave(time.Now())) })
+	select {
+	case <-again:
+	case <-time.After(e.config.Settings.Linger):
+	}
+	e.log.Info("entry: left")
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,290 @@
+// Package gossip lets balancers find each other from a few seeds, and relay what the
+// platform publishes and the load that each of them causes.
+//
+// Every period a balancer sends one datagram to a few others. It carries the sender's
+// heartbeat, some of the heartbeats that it knows, the revision of its replica with
+// the time at which that was known to be the newest, and its load. A receiver with an
+// older revision asks for the difference, which comes in parts.
+//
+// Sessions between all pairs, as package link has them, were rejected: they cost a
+// connection and its wake-ups for each pair, and may go silent without an error. A
+// lost datagram is repaired by the next period. SWIM's probes were rejected as well:
+// nothing here depends on knowing soon that a balancer is dead, since its flows go on
+// at any other.
+//
+// A Node has no sockets and no goroutines; it belongs to one goroutine.
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	"wigeonmoor.example/internal/state"
+	"wigeonmoor.example/internal/tagged"
+	"wigeonmoor.example/internal/wire"
+)
+
+const (
+	// Period lies between two rounds. Load reports older than a few requests (30 to
+	// 70 ms each) say little, and each datagram costs two system calls.
+	Period = 200 * time.Millisecond
+	// fanout is the number of balancers told in each round.
+	fanout = 4
+	// membersTold bounds the heartbeats in a datagram, so that its size does not
+	// grow with the fleet.
+	membersTold = 12
+	// seedPeriod lies between two datagrams to a seed that is not known to be alive,
+	// seedHurry while nobody is known at all.
+	seedPeriod = 2 * time.Second
+	seedHurry  = 100 * time.Millisecond
+	// wantPause lies between two requests for a difference.
+	wantPause = 100 * time.Millisecond
+	// newestMargin is how long a call to the platform may take at the most usually;
+	// what a call returned was the newest that long ago.
+	newestMargin = 100 * time.Millisecond
+)
+
+// Config sets a Node up.
+type Config struct {
+	Name    string
+	Domain  string
+	Address netip.AddrPort
+	Seeds   []netip.AddrPort
+	Rand    *rand.Rand
+	Log     logr.Logger
+	Replica *state.Replica
+	// Loads appends this balancer's load to a list.
+	Loads func([]tagged.Load) []tagged.Load
+	// TakeLoads gets a peer's load.
+	TakeLoads func(peer string, loads []tagged.Load, now time.Time)
+	// Changed is called after the replica has changed.
+	Changed func(source string, now time.Time)
+	// Confirmed is called with a time at which the replica was the newest.
+	Confirmed func(at time.Time)
+}
+
+// Message is a datagram to send.
+type Message struct {
+	To   netip.AddrPort
+	Data []byte
+}
+
+// Node is one balancer's part in the gossip.
+type Node struct {
+	settings    Config
+	self        wire.Member
+	members     map[string]*member
+	confirmed   time.Time
+	nextRound   time.Time
+	nextSeeds   time.Time
+	nextWant    time.Time
+	parts       assembly
+	loads       []tagged.Load
+	out         []Message
+	readerKnown bool
+	wasReader   bool
+}
+
+// New returns a node that knows nobody.
+func New(settings Config) (*Node, error) {
+	endpoint, ok := state.EndpointOf(settings.Address)
+	if !ok {
+		return nil, fmt.Errorf("gossip: listen on %s: the address is not IPv4", settings.Address)
+	}
+	n := &Node{settings: settings, members: make(map[string]*member)}
+	// The time of day may jump, so that lives are told apart by a random number.
+	n.self = wire.Member{
+		Name:        settings.Name,
+		Domain:      settings.Domain,
+		Endpoint:    uint64(endpoint),
+		Incarnation: settings.Rand.Uint64(),
+	}
+	return n, nil
+}
+
+// SetSeeds replaces the seeds after a reload.
+func (n *Node) SetSeeds(seeds []netip.AddrPort) { n.settings.Seeds = seeds }
+
+// Confirmed returns when the replica was last known to be the newest.
+func (n *Node) Confirmed() time.Time { return n.confirmed }
+
+// TakeReading takes in what the platform has answered, and tells peers at once if
+// that is news.
+func (n *Node) TakeReading(delta state.Delta, now time.Time) []Message {
+	n.out = nil
+	if !n.settings.Replica.Fits(delta) {
+		return nil
+	}
+	if n.settings.Replica.Apply(delta, now) {
+		n.settings.Changed("platform", now)
+		n.round(now)
+	}
+	n.confirm(now.Add(-newestMargin))
+	return n.out
+}
+
+func (n *Node) confirm(at time.Time) {
+	if at.After(n.confirmed) {
+		n.confirmed = at
+		n.settings.Confirmed(at)
+	}
+}
+
+// Tick does what is due.
+func (n *Node) Tick(now time.Time) []Message {
+	n.out = nil
+	n.expire(now)
+	if !now.Before(n.nextRound) {
+		n.nextRound = now.Add(Period)
+		n.round(now)
+	}
+	if !now.Before(n.nextSeeds) {
+		n.tellSeeds(now)
+	}
+	return n.out
+}
+
+// Leave tells some peers that this balancer is about to end.
+func (n *Node) Leave(now time.Time) []Message {
+	n.out = nil
+	n.self.Leaving = true
+	n.round(now)
+	return n.out
+}
+
+// round tells a few members, and now and then one that seems dead: a cut may have
+// ended.
+func (n *Node) round(now time.Time) {
+	n.self.Beat++
+	targets := n.pickTargets(now)
+	if len(targets) == 0 {
+		return
+	}
+	data := n.gossip(now)
+	for _, target := range targets {
+		n.out = append(n.out, Message{To: target, Data: data})
+	}
+}
+
+func (n *Node) tellSeeds(now time.Time) {
+	live := n.Live(now)
+	pause := seedPeriod
+	if len(live) == 0 {
+		pause = seedHurry
+	}
+	n.nextSeeds = now.Add(pause)
+	known := make(map[netip.AddrPort]bool, len(live))
+	for _, m := range live {
+		known[m.address] = true
+	}
+	for _, seed := range n.settings.Seeds {
+		if seed != n.settings.Address && !known[seed] {
+			n.out = append(n.out, Message{To: seed, Data: n.gossip(now)})
+		}
+	}
+}
+
+// gossip returns the datagram of this moment.
+func (n *Node) gossip(now time.Time) []byte {
+	message := &wire.Gossip{
+		Sender:   &n.self,
+		Revision: uint64(n.settings.Replica.Revision()),
+		Members:  n.tell(now),
+	}
+	if !n.confirmed.IsZero() {
+		message.ConfirmedMilliseconds = uint32(now.Sub(n.confirmed).Milliseconds()) + 1
+	}
+	n.loads = n.settings.Loads(n.loads[:0])
+	for _, load := range n.loads {
+		message.Tags = append(message.Tags, uint32(load.Tag))
+		message.Busy = append(message.Busy, uint32(max(load.Busy, 0)))
+		message.Open = append(message.Open, uint32(max(load.Open, 0)))
+	}
+	return n.marshal(&wire.Exchange{Body: &wire.Exchange_Gossip{Gossip: message}})
+}
+
+func (n *Node) marshal(exchange *wire.Exchange) []byte {
+	data, err := proto.Marshal(exchange)
+	if err != nil {
+		// Only text that is not UTF-8 cannot be written, and it is checked on the
+		// way in.
+		n.settings.Log.Error(err, "gossip: message could not be written")
+	}
+	return data
+}
+
+// Receive takes a datagram in. The error says what is wrong with it.
+func (n *Node) Receive(data []byte, from netip.AddrPort, now time.Time) ([]Message, error) {
+	n.out = nil
+	exchange := &wire.Exchange{}
+	if err := proto.Unmarshal(data, exchange); err != nil {
+		return nil, fmt.Errorf("gossip: read datagram of %s: %w", from, err)
+	}
+	switch body := exchange.Body.(type) {
+	case *wire.Exchange_Gossip:
+		n.takeGossip(body.Gossip, from, now)
+	case *wire.Exchange_Want:
+		n.answer(state.Revision(body.Want.Revision), from)
+	case *wire.Exchange_Part:
+		return nil, n.takePart(body.Part, from, now)
+	default:
+		return nil, fmt.Errorf("gossip: datagram of %s has no body", from)
+	}
+	return n.out, nil
+}
+
+func (n *Node) takeGossip(message *wire.Gossip, from netip.AddrPort, now time.Time) {
+	sender := message.Sender
+	if sender == nil || sender.Name == "" || sender.Name == n.self.Name {
+		return
+	}
+	newcomer := n.hear(sender, true, now)
+	for _, other := range message.Members {
+		n.hear(other, false, now)
+	}
+	if newcomer {
+		n.out = append(n.out, Message{To: from, Data: n.gossip(now)})
+	}
+	n.takeLoads(message, now)
+	n.compare(message, from, now)
+}
+
+// compare takes what the sender knows of the newest revision.
+func (n *Node) compare(message *wire.Gossip, from netip.AddrPort, now time.Time) {
+	revision := n.settings.Replica.Revision()
+	theirs := state.Revision(message.Revision)
+	if theirs > revision && !now.Before(n.nextWant) {
+		n.nextWant = now.Add(wantPause)
+		n.want(from)
+		return
+	}
+	if theirs == revision && n.settings.Replica.Loaded() && message.ConfirmedMilliseconds > 0 {
+		n.confirm(now.Add(-time.Duration(message.ConfirmedMilliseconds) * time.Millisecond))
+	}
+}
+
+func (n *Node) want(from netip.AddrPort) {
+	want := &wire.Want{}
+	if n.settings.Replica.Loaded() {
+		want.Revision = uint64(n.settings.Replica.Revision())
+	}
+	n.out = append(n.out, Message{To: from, Data: n.marshal(&wire.Exchange{Body: &wire.Exchange_Want{Want: want}})})
+}
+
+func (n *Node) takeLoads(message *wire.Gossip, now time.Time) {
+	count := min(len(message.Tags), len(message.Busy), len(message.Open))
+	loads := make([]tagged.Load, count)
+	for index := range loads {
+		loads[index] = tagged.Load{
+			Tag:  state.Tag(message.Tags[index]),
+			Busy: int(message.Busy[index]),
+			Open: int(message.Open[index]),
+		}
+	}
+	n.settings.TakeLoads(message.Sender.Name, loads, now)
+}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -33,8 +33,34 @@
 	MaxFlows              int
 	LogDecisions          bool
 	Linger                time.Duration
+	Binding               Binding
+	// Ready is the HTTP address of the readiness answer.
+	Ready netip.AddrPort
+	// Seeds are the IP numbers of other balancers.
+	Seeds []netip.Addr
 }
 
+// SeedAddresses returns where the seeds listen: all balancers have the same port for
+// peers.
+func (s *Settings) SeedAddresses() []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		addresses = append(addresses, netip.AddrPortFrom(seed, s.Instance.Address.Port()))
+	}
+	return addresses
+}
+
+// Binding says how a flow keeps its backend server.
+type Binding string
+
+// The bindings.
+const (
+	// Owned: each flow has an owner among the balancers, which decides for it.
+	Owned Binding = "Owned"
+	// Tagged: each packet carries a tag that names the flow's backend server.
+	Tagged Binding = "Tagged"
+)
+
 // Key is one key of the settings file.
 type Key struct {
 	Section     string
@@ -42,24 +68,29 @@
 	Default     string
 	Description string
 	set         func(settings *Settings, value string) error
+	// only is the binding that needs the key, empty for both.
+	only Binding
 }
 
 // Keys returns all keys in the order of the documentation.
 func Keys() []Key {
 	return []Key{
-		{"Instance", "Name", "", "Name of this instance, as on the platform's list.", text(func(s *Settings) *string { return &s.Instance.Name })},
-		{"Instance", "Domain", "", "Failure domain of this instance.", text(func(s *Settings) *string { return &s.Instance.Domain })},
-		{"Instance", "Rack", "none", "Rack of this instance; copies of its state go to other racks first.", text(func(s *Settings) *string { return &s.Instance.Rack })},
-		{"Instance", "Fabric", "", "Fabric that sprays packets over this instance and its peers.", text(func(s *Settings) *string { return &s.Instance.Fabric })},
-		{"Listen", "Traffic", "", "UDP address that takes callers' packets from the fabric.", address(func(s *Settings) *netip.AddrPort { return &s.Traffic })},
-		{"Listen", "Peer", "", "UDP and TCP address for other balancers.", address(func(s *Settings) *netip.AddrPort { return &s.Instance.Address })},
-		{"Listen", "Admin", "127.0.0.1:7790", "HTTP address of the read-only interface for operators.", address(func(s *Settings) *netip.AddrPort { return &s.Admin })},
-		{"Platform", "URL", "", "Base URL of the configuration service.", setURL},
-		{"Callers", "Return", "", "UDP address of the fabric that takes packets to callers.", address(func(s *Settings) *netip.AddrPort { return &s.CallerReturn })},
-		{"Limits", "ControlBytesPerSecond", "4000", "Budget for control traffic that can wait, in bytes a second.", number(func(s *Settings) *int { return &s.ControlBytesPerSecond }, 500, 100_000_000)},
-		{"Limits", "MaxFlows", "2000000", "Flow records held at most.", number(func(s *Settings) *int { return &s.MaxFlows }, 1000, 100_000_000)},
-		{"Log", "Decisions", "true", "Write a line for each routing or placement decision.", setDecisions},
-		{"Leave", "Linger", "5s", "Time that a leaving balancer forwards packets until the fabric's list has caught up.", setLinger},
+		{"Instance", "Name", "", "Name of this instance, as on the platform's list.", text(func(s *Settings) *string { return &s.Instance.Name }), ""},
+		{"Instance", "Domain", "", "Failure domain of this instance.", text(func(s *Settings) *string { return &s.Instance.Domain }), ""},
+		{"Instance", "Rack", "none", "Rack of this instance; copies of its state go to other racks first.", text(func(s *Settings) *string { return &s.Instance.Rack }), ""},
+		{"Instance", "Fabric", "", "Fabric that sprays packets over this instance and its peers; with Owned only.", text(func(s *Settings) *string { return &s.Instance.Fabric }), Owned},
+		{"Instance", "Binding", string(Owned), "How a flow keeps its backend server: Owned or Tagged.", setBinding, ""},
+		{"Listen", "Traffic", "", "UDP address that takes callers' packets from the fabric.", address(func(s *Settings) *netip.AddrPort { return &s.Traffic }), ""},
+		{"Listen", "Peer", "", "UDP and TCP address for other balancers.", address(func(s *Settings) *netip.AddrPort { return &s.Instance.Address }), ""},
+		{"Listen", "Admin", "127.0.0.1:7790", "HTTP address of the read-only interface for operators.", address(func(s *Settings) *netip.AddrPort { return &s.Admin }), ""},
+		{"Listen", "Ready", "", "HTTP address that answers whether this balancer takes traffic; with Tagged only.", address(func(s *Settings) *netip.AddrPort { return &s.Ready }), Tagged},
+		{"Peers", "Seeds", "none", "IP numbers of some other balancers, with commas between. A port is left out of account, as all have the same; with Tagged only.", setSeeds, Tagged},
+		{"Platform", "URL", "", "Base URL of the configuration service.", setURL, ""},
+		{"Callers", "Return", "", "UDP address of the fabric that takes packets to callers; with Owned only.", address(func(s *Settings) *netip.AddrPort { return &s.CallerReturn }), Owned},
+		{"Limits", "ControlBytesPerSecond", "4000", "Budget for control traffic that can wait, in bytes a second.", number(func(s *Settings) *int { return &s.ControlBytesPerSecond }, 500, 100_000_000), ""},
+		{"Limits", "MaxFlows", "2000000", "Flow records held at most.", number(func(s *Settings) *int { return &s.MaxFlows }, 1000, 100_000_000), ""},
+		{"Log", "Decisions", "true", "Write a line for each routing or placement decision.", setDecisions, ""},
+		{"Leave", "Linger", "5s", "Time that a leaving balancer forwards packets until the fabric's list has caught up.", setLinger, ""},
 	}
 }
 
@@ -104,6 +135,30 @@
 	return nil
 }
 
+func setBinding(settings *Settings, value string) error {
+	switch Binding(value) {
+	case Owned, Tagged:
+		settings.Binding = Binding(value)
+		return nil
+	}
+	return errors.New("must be Owned or Tagged")
+}
+
+func setSeeds(settings *Settings, value string) error {
+	if value == "none" {
+		return nil
+	}
+	for _, text := range strings.Split(value, ",") {
+		text, _, _ = strings.Cut(strings.TrimSpace(text), ":")
+		seed, err := netip.ParseAddr(text)
+		if err != nil {
+			return errors.New("must be IP numbers such as 192.0.2.1,192.0.2.2")
+		}
+		settings.Seeds = append(settings.Seeds, seed)
+	}
+	return nil
+}
+
 func setDecisions(settings *Settings, value string) error {
 	parsed, err := strconv.ParseBool(value)
 	if err != nil {
@@ -162,6 +217,9 @@
 		return config.Problems{{File: path, Line: line, Path: name, Reason: "is set twice", Fix: "remove one of the two"}}
 	}
 	if len(values) == 0 || values[0] == "" {
+		if k.only != "" && k.only != settings.Binding {
+			return nil
+		}
 		return config.Problems{{File: path, Path: name, Reason: "is missing", Fix: k.Description}}
 	}
 	if err := k.set(settings, values[0]); err != nil {
--- /dev/null
+++ b/internal/source/source.go
@@ -0,0 +1,150 @@
+// Package source follows what the platform publishes, with as few calls as keep the
+// balancer's view fresh.
+//
+// A balancer that reads for its failure domain always has one watch open. The others
+// are fed by peers, and call only when nobody has confirmed their view for a while:
+// their readers are dead, cut off, or refused by the platform. A watch in every
+// balancer was rejected, since each call is paid for, and polling, since a change
+// would wait for the next poll.
+package source
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"wigeonmoor.example/internal/state"
+)
+
+// ErrHistoryLost is returned by a watch whose start is no longer in the platform's
+// history. Everything has to be read again.
+var ErrHistoryLost = errors.New("source: history is no longer available")
+
+const (
+	// watchSpan is how long a watch waits. A watch that is silent for longer is cut
+	// off, so that it bounds how late that is noticed: a third of the tightest bound
+	// for a change (3 s).
+	watchSpan = time.Second
+	// answerLimit is added for the call itself. The platform answers in 4 ms; slow
+	// days have 64 times that.
+	answerLimit = 700 * time.Millisecond
+	// readLimit bounds the reading of everything, which may take several calls.
+	readLimit = 1500 * time.Millisecond
+	// retryFirst and retryMost bound the pause after failures.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+	// idlePause is how often a balancer that does not read looks whether it must.
+	idlePause = 100 * time.Millisecond
+)
+
+// Reading is what the platform has answered.
+type Reading struct {
+	Delta state.Delta
+	// Problems name published items that cannot be used.
+	Problems []error
+}
+
+// Store is the platform's store.
+type Store interface {
+	// Read returns everything published.
+	Read(ctx context.Context) (Reading, error)
+	// Watch returns what has changed since a revision, after waiting for it.
+	Watch(ctx context.Context, since state.Revision, wait time.Duration) (Reading, error)
+}
+
+// Config sets a follower up. The callbacks are called from its goroutine.
+type Config struct {
+	Store Store
+	// Wanted reports whether this balancer is to read now.
+	Wanted func() bool
+	// Since returns the revision reached, false if nothing has been read yet.
+	Since func() (state.Revision, bool)
+	Take  func(Reading)
+	// Failed and Regained tell of the platform getting out of reach and back.
+	Failed   func(error)
+	Regained func()
+}
+
+// Follower reads until its context ends.
+type Follower struct {
+	settings Config
+	reread   bool
+	failing  bool
+}
+
+// New starts to follow the platform.
+func New(ctx context.Context, settings Config) *Follower {
+	f := &Follower{settings: settings}
+	go func() { f.follow(ctx) }()
+	return f
+}
+
+func (f *Follower) follow(ctx context.Context) {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		if !f.settings.Wanted() {
+			sleep(ctx, idlePause)
+			continue
+		}
+		reading, err := f.call(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			f.succeed(reading)
+			pause = retryFirst
+		case errors.Is(err, ErrHistoryLost):
+			f.reread = true
+		default:
+			f.fail(err)
+			sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+			pause = min(2*pause, retryMost)
+		}
+	}
+}
+
+// call reads everything once, and from then on what has changed.
+func (f *Follower) call(ctx context.Context) (Reading, error) {
+	since, loaded := f.settings.Since()
+	if !loaded || f.reread {
+		ctx, cancel := context.WithTimeout(ctx, readLimit)
+		defer cancel()
+		reading, err := f.settings.Store.Read(ctx)
+		if err != nil {
+			return Reading{}, fmt.Errorf("source: read everything: %w", err)
+		}
+		f.reread = false
+		return reading, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchSpan+answerLimit)
+	defer cancel()
+	reading, err := f.settings.Store.Watch(ctx, since, watchSpan)
+	if err != nil {
+		return Reading{}, fmt.Errorf("source: watch since %d: %w", since, err)
+	}
+	return reading, nil
+}
+
+func (f *Follower) succeed(reading Reading) {
+	if f.failing {
+		f.failing = false
+		f.settings.Regained()
+	}
+	f.settings.Take(reading)
+}
+
+func (f *Follower) fail(err error) {
+	if !f.failing {
+		f.failing = true
+		f.settings.Failed(err)
+	}
+}
+
+func sleep(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
--- /dev/null
+++ b/internal/state/replica.go
@@ -0,0 +1,178 @@
+package state
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// removalLife is how long a removal is remembered. It covers the longest flow on the
+// users' sites (60 s) twice.
+const removalLife = 2 * time.Minute
+
+// Removal is a backend server that is no longer published.
+type Removal struct {
+	Backend  Backend
+	Revision Revision
+	// At is when this process learned of it.
+	At time.Time
+}
+
+// Delta is what has changed between two revisions.
+type Delta struct {
+	// From is the revision that the receiver must have reached. It is not looked at
+	// when Full is set.
+	From, To Revision
+	// Full deltas hold every backend server there is; those missing are removed.
+	Full     bool
+	Backends []Backend
+	// Removed holds names and the revisions of their removal.
+	Removed map[string]Revision
+	// Configuration is nil when it has not changed.
+	Configuration *Configuration
+}
+
+// Replica holds the published items. It belongs to one goroutine.
+type Replica struct {
+	revision      Revision
+	loaded        bool
+	backends      map[string]Backend
+	removals      map[string]Removal
+	configuration *Configuration
+	// horizon is the oldest revision since which all removals are remembered.
+	horizon Revision
+}
+
+// NewReplica returns an empty replica.
+func NewReplica() *Replica {
+	return &Replica{backends: make(map[string]Backend), removals: make(map[string]Removal)}
+}
+
+// Revision returns the revision that the replica has reached.
+func (r *Replica) Revision() Revision { return r.revision }
+
+// Loaded reports whether everything published has been seen once.
+func (r *Replica) Loaded() bool { return r.loaded }
+
+// Configuration returns the configuration in force, or nil.
+func (r *Replica) Configuration() *Configuration { return r.configuration }
+
+// Fits reports whether a delta can be applied without a gap.
+func (r *Replica) Fits(delta Delta) bool {
+	return delta.Full || r.loaded && delta.From <= r.revision
+}
+
+// Apply takes a delta in and reports whether anything has changed. Items that are
+// older than what the replica holds are left out, so that deltas may come twice and
+// by several ways.
+func (r *Replica) Apply(delta Delta, now time.Time) bool {
+	if !r.Fits(delta) || delta.Full && r.loaded && delta.To < r.revision {
+		return false
+	}
+	changed := !r.loaded
+	if delta.Full {
+		changed = r.removeMissing(delta, now) || changed
+		if !r.loaded {
+			r.horizon = delta.To
+		}
+		r.loaded = true
+	}
+	for index := range delta.Backends {
+		changed = r.put(delta.Backends[index]) || changed
+	}
+	for name, revision := range delta.Removed {
+		changed = r.remove(name, revision, now) || changed
+	}
+	if c := delta.Configuration; c != nil && (r.configuration == nil || c.Version > r.configuration.Version) {
+		r.configuration = c
+		changed = true
+	}
+	r.revision = max(r.revision, delta.To)
+	return changed
+}
+
+func (r *Replica) put(backend Backend) bool {
+	if held, ok := r.backends[backend.Name]; ok && held.Revision >= backend.Revision {
+		return false
+	}
+	if removal, ok := r.removals[backend.Name]; ok {
+		if removal.Revision >= backend.Revision {
+			return false
+		}
+		delete(r.removals, backend.Name)
+	}
+	r.backends[backend.Name] = backend
+	return true
+}
+
+func (r *Replica) remove(name string, revision Revision, now time.Time) bool {
+	held, ok := r.backends[name]
+	if !ok || held.Revision > revision {
+		return false
+	}
+	delete(r.backends, name)
+	r.removals[name] = Removal{Backend: held, Revision: revision, At: now}
+	return true
+}
+
+// removeMissing removes what a full delta no longer holds.
+func (r *Replica) removeMissing(delta Delta, now time.Time) bool {
+	present := make(map[string]bool, len(delta.Backends))
+	for index := range delta.Backends {
+		present[delta.Backends[index].Name] = true
+	}
+	changed := false
+	for name := range r.backends {
+		if !present[name] {
+			changed = r.remove(name, delta.To, now) || changed
+		}
+	}
+	return changed
+}
+
+// Since returns what a peer at the given revision lacks. Where a removal may have
+// been forgotten it is everything.
+func (r *Replica) Since(revision Revision) Delta {
+	delta := Delta{From: revision, To: r.revision, Full: revision < r.horizon}
+	for _, name := range slices.Sorted(maps.Keys(r.backends)) {
+		if backend := r.backends[name]; delta.Full || backend.Revision > revision {
+			delta.Backends = append(delta.Backends, backend)
+		}
+	}
+	if c := r.configuration; c != nil && (delta.Full || c.Revision > revision) {
+		delta.Configuration = c
+	}
+	if delta.Full {
+		return delta
+	}
+	delta.Removed = make(map[string]Revision)
+	for name, removal := range r.removals {
+		if removal.Revision > revision {
+			delta.Removed[name] = removal.Revision
+		}
+	}
+	return delta
+}
+
+// Forget drops removals that no flow can depend on any longer.
+func (r *Replica) Forget(now time.Time) {
+	for name, removal := range r.removals {
+		if now.Sub(removal.At) > removalLife {
+			r.horizon = max(r.horizon, removal.Revision)
+			delete(r.removals, name)
+		}
+	}
+}
+
+// Table compiles what traffic needs.
+func (r *Replica) Table() *Table {
+	removals := make([]Removal, 0, len(r.removals))
+	for _, name := range slices.Sorted(maps.Keys(r.removals)) {
+		removals = append(removals, r.removals[name])
+	}
+	backends := make([]Backend, 0, len(r.backends))
+	for _, name := range slices.Sorted(maps.Keys(r.backends)) {
+		backends = append(backends, r.backends[name])
+	}
+	return NewTable(r.revision, r.configuration, backends, removals)
+}
--- /dev/null
+++ b/internal/tagged/record.go
@@ -0,0 +1,245 @@
+package tagged
+
+// Records of flows: an arena with a free list, so that flows that come and go leave
+// no garbage.
+
+import (
+	"time"
+
+	"wigeonmoor.example/internal/state"
+)
+
+// record is what is known of one flow.
+type record struct {
+	key    Key
+	target *target
+	used   bool
+	// opened flows have shown the end of their handshake, closed ones the caller's
+	// last packet.
+	opened, closed bool
+	// moved is set when a copy of the first packet went to another server.
+	moved bool
+	// struck is set when the flow has been counted as unanswered since its last
+	// progress.
+	struck bool
+	// busy is set from a request's first packet to the first packet of its answer.
+	busy         bool
+	idempotent   bool
+	acknowledged uint32
+	// expected is the position after the caller's last data.
+	expected uint32
+	bytes    int
+	sent     time.Time
+	seen     time.Time
+}
+
+// records is the arena.
+type records struct {
+	limit int
+	index map[Key]int32
+	all   []record
+	free  []int32
+}
+
+func newRecords(limit int) records {
+	return records{limit: limit, index: make(map[Key]int32)}
+}
+
+func (r *records) get(key Key) *record {
+	at, ok := r.index[key]
+	if !ok {
+		return nil
+	}
+	return &r.all[at]
+}
+
+// add returns a new record, or nil when there is no room. Growing moves the arena:
+// records must not be held across a call.
+func (r *records) add(key Key) *record {
+	var at int32
+	switch {
+	case len(r.free) > 0:
+		at = r.free[len(r.free)-1]
+		r.free = r.free[:len(r.free)-1]
+	case len(r.all) < r.limit:
+		at = int32(len(r.all))
+		r.all = append(r.all, record{})
+	default:
+		return nil
+	}
+	r.all[at] = record{key: key, used: true}
+	r.index[key] = at
+	return &r.all[at]
+}
+
+func (r *records) remove(key Key) {
+	at, ok := r.index[key]
+	if !ok {
+		return
+	}
+	delete(r.index, key)
+	r.all[at] = record{}
+	r.free = append(r.free, at)
+}
+
+// each calls visit for all records, which may remove the one that it is given.
+func (r *records) each(visit func(*record)) {
+	for index := range r.all {
+		if r.all[index].used {
+			visit(&r.all[index])
+		}
+	}
+}
+
+// record remembers a flow that was placed.
+func (c *Core) record(p *Packet, route *state.Route, t *target, now time.Time) {
+	r := c.flows.add(p.Key)
+	if r == nil {
+		return
+	}
+	r.target = t
+	r.idempotent = route.Idempotent
+	r.sent, r.seen = now, now
+	r.busy = true
+	t.open++
+	t.busy++
+}
+
+// adopt remembers an open flow that this balancer has not placed.
+func (c *Core) adopt(p *Packet, t *target) *record {
+	r := c.flows.add(p.Key)
+	if r == nil {
+		return nil
+	}
+	c.Counters.Adopted.Add(1)
+	r.target = t
+	r.opened = true
+	r.acknowledged = p.Acknowledged
+	r.expected = p.Sequence
+	if route := c.table.Route(p.Key.Listen); route != nil {
+		r.idempotent = route.Idempotent
+	}
+	t.open++
+	return r
+}
+
+// move gives a flow that has not opened to another server.
+func (c *Core) move(r *record, t *target, now time.Time) {
+	c.release(r)
+	r.target = t
+	r.moved = true
+	r.struck = false
+	r.busy = true
+	r.sent = now
+	t.open++
+	t.busy++
+}
+
+// release takes a flow's load off its server.
+func (c *Core) release(r *record) {
+	if r.target == nil {
+		return
+	}
+	c.setBusy(r, false)
+	if !r.closed {
+		r.target.open--
+	}
+}
+
+func (c *Core) setBusy(r *record, busy bool) {
+	if r.busy == busy {
+		return
+	}
+	r.busy = busy
+	if busy {
+		r.target.busy++
+		return
+	}
+	r.target.busy--
+}
+
+func (c *Core) forget(r *record) {
+	c.release(r)
+	c.flows.remove(r.key)
+}
+
+// observe learns from a packet of an open flow: progress of its answers is a sign of
+// its server's life, and new data is a request in progress.
+func (c *Core) observe(r *record, t *target, p *Packet, now time.Time) {
+	r.seen = now
+	if !r.opened {
+		c.opened(r, t, p, now)
+	}
+	if ahead(p.Acknowledged, r.acknowledged) {
+		r.acknowledged = p.Acknowledged
+		r.struck = false
+		c.setBusy(r, false)
+		t.health.Sign(now)
+	}
+	c.observeData(r, p, now)
+	if p.Last && !r.closed {
+		c.learnBytes(r)
+		c.setBusy(r, false)
+		r.closed = true
+		r.target.open--
+	}
+}
+
+// opened notes the end of a handshake, with the server whose tag the caller repeats.
+func (c *Core) opened(r *record, t *target, p *Packet, now time.Time) {
+	if r.target != t {
+		c.release(r)
+		r.target = t
+		t.open++
+	} else {
+		c.setBusy(r, false)
+	}
+	r.opened = true
+	r.struck = false
+	r.acknowledged = p.Acknowledged
+	r.expected = p.Sequence
+	t.health.Sign(now)
+}
+
+func (c *Core) observeData(r *record, p *Packet, now time.Time) {
+	if p.Length == 0 || r.closed {
+		return
+	}
+	end := p.Sequence + uint32(p.Length)
+	if ahead(end, r.expected) {
+		r.bytes += int(end - r.expected)
+		r.expected = end
+		r.sent = now
+		r.struck = false
+		c.setBusy(r, true)
+		return
+	}
+	// The caller repeats data that its server has not acknowledged, unless the packet
+	// was only overtaken by a later one. One repetition may be a lost packet, and the
+	// server shows life on other flows then.
+	if !r.struck && now.Sub(r.sent) > overtakeLimit {
+		r.struck = true
+		c.strike(r.target, r.sent, now, "data was not acknowledged")
+	}
+}
+
+// overtakeLimit is the time after which a packet with old data is a repetition: callers
+// repeat after 200 ms.
+const overtakeLimit = 150 * time.Millisecond
+
+// ahead reports whether one position is after another, around the end of the range.
+func ahead(one, other uint32) bool { return int32(one-other) > 0 }
+
+// learnBytes keeps the mean size of what callers send on a route's flows.
+func (c *Core) learnBytes(r *record) {
+	known := c.classes[r.key.Listen]
+	if known == nil {
+		known = &class{bytes: float64(r.bytes)}
+		c.classes[r.key.Listen] = known
+		return
+	}
+	known.bytes += (float64(r.bytes) - known.bytes) * bytesGain
+}
+
+// bytesGain is the weight of the newest flow in a route's mean size.
+const bytesGain = 0.05
--- /dev/null
+++ b/internal/tagged/sweep.go
@@ -0,0 +1,137 @@
+package tagged
+
+// What happens without a packet: unanswered first packets are noticed, servers are
+// checked, flows of dead servers are reset, and records expire.
+
+import (
+	"net/netip"
+	"time"
+
+	"wigeonmoor.example/internal/health"
+)
+
+// Check asks for an active check of a backend server.
+type Check struct {
+	Backend string
+	Address netip.AddrPort
+}
+
+// Output is what a tick asks for.
+type Output struct {
+	Resets []Reset
+	Checks []Check
+}
+
+// shareGain is the weight of one tick in the mean share of busy flows, which settles
+// within a second.
+const shareGain = 0.05
+
+// Tick does what is due. The output is valid until the next call.
+func (c *Core) Tick(now time.Time) Output {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.checks = c.checks[:0]
+	open, busy := 0, 0
+	c.flows.each(func(r *record) {
+		if r.opened && !r.closed {
+			open++
+			if r.busy {
+				busy++
+			}
+		}
+		c.review(r, now)
+	})
+	if open > 0 {
+		c.openShare += (float64(busy)/float64(open) - c.openShare) * shareGain
+	}
+	for _, t := range c.targets {
+		if !t.entry.Replaced && t.health.NeedsCheck(now) {
+			c.checks = append(c.checks, Check{Backend: t.entry.Name, Address: t.entry.Address})
+		}
+	}
+	c.forgetPeers(now)
+	resets := c.resets
+	c.resets = nil
+	return Output{Resets: resets, Checks: c.checks}
+}
+
+// review looks at one flow.
+func (c *Core) review(r *record, now time.Time) {
+	silent := now.Sub(r.seen)
+	switch {
+	case !r.opened && silent > placingLife, r.closed && silent > closedLife, c.table != nil && silent > c.table.IdleTimeout:
+		c.forget(r)
+		return
+	case !r.opened && !r.struck && now.Sub(r.sent) > handshakeLimit:
+		r.struck = true
+		c.strike(r.target, r.sent, now, "first packet was not answered")
+	}
+	if r.busy && r.opened && now.Sub(r.sent) > busyLimit {
+		c.setBusy(r, false)
+	}
+}
+
+// strike counts something unanswered against a server.
+func (c *Core) strike(t *target, sent, now time.Time, reason string) {
+	if !t.health.Strike(sent, now) {
+		return
+	}
+	c.Counters.Suspected.Add(1)
+	c.settings.Log.Info("tagged: backend server suspected", "Backend", t.entry.Name, "Reason", reason,
+		"Waited", now.Sub(sent).String(), "SinceSign", sinceSign(t, now))
+}
+
+func sinceSign(t *target, now time.Time) string {
+	if t.health.LastSign().IsZero() {
+		return "never"
+	}
+	return now.Sub(t.health.LastSign()).String()
+}
+
+// Checked takes the outcome of an active check in.
+func (c *Core) Checked(backend string, result health.Result, now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	t := c.targets[backend]
+	if t == nil {
+		return
+	}
+	before := t.health.State()
+	if t.health.Checked(result, now) {
+		c.Counters.Died.Add(1)
+		c.settings.Log.Info("tagged: backend server is dead", "Backend", backend, "Check", result, "SinceSign", sinceSign(t, now))
+		c.resetFlows(t, "backend server is dead", t.certain())
+	}
+	if before == health.Dead && t.health.State() == health.Alive {
+		c.Counters.Returned.Add(1)
+		c.settings.Log.Info("tagged: backend server is back", "Backend", backend)
+	}
+}
+
+// resettable reports whether a dead server's flow is to be reset. A request that must
+// not run twice may have run and be answered yet, unless the server surely has ended.
+func (c *Core) resettable(r *record, certain bool) bool {
+	return certain || r.idempotent || !r.opened
+}
+
+// resetFlows resets the flows of a dead server, so that their callers try again.
+func (c *Core) resetFlows(t *target, reason string, certain bool) {
+	c.flows.each(func(r *record) {
+		if r.target != t || r.closed || !c.resettable(r, certain) {
+			return
+		}
+		c.Counters.Resets.Add(1)
+		c.resets = append(c.resets, Reset{Key: r.key, Sequence: r.acknowledged})
+		c.logFlow("tagged: flow reset", r.key, t, reason)
+		c.forget(r)
+	})
+}
+
+// dropFlows forgets the flows of a server that is no longer in the table.
+func (c *Core) dropFlows(t *target) {
+	c.flows.each(func(r *record) {
+		if r.target == t {
+			c.flows.remove(r.key)
+		}
+	})
+}
--- a/wigeond/main.go
+++ b/wigeond/main.go
@@ -9,11 +9,14 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/go-logr/logr"
 	"github.com/google/subcommands"
 
 	"wigeonmoor.example/internal/daemon"
+	"wigeonmoor.example/internal/entry"
 	"wigeonmoor.example/internal/logs"
 	"wigeonmoor.example/internal/setup"
+	"wigeonmoor.example/platform"
 )
 
 // version is the release that this program belongs to.
@@ -38,9 +41,17 @@
 
 func (*runCommand) Name() string     { return "run" }
 func (*runCommand) Synopsis() string { return "serve until SIGTERM, then leave gracefully" }
-func (*runCommand) Usage() string    { return "run -settings FILE\n" }
+func (*runCommand) Usage() string    { return "run [-settings FILE]\n" }
 func (r *runCommand) SetFlags(flags *flag.FlagSet) {
-	flags.StringVar(&r.settings, "settings", "wigeond.ini", "settings file")
+	flags.StringVar(&r.settings, "settings", defaultSettings(), "settings file")
+}
+
+// defaultSettings is where the platform has put the settings, if it has.
+func defaultSettings() string {
+	if path := os.Getenv(platform.SettingsVariable); path != "" {
+		return path
+	}
+	return "wigeond.ini"
 }
 
 func (r *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -49,18 +60,35 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	writer := logs.NewWriter(os.Stderr)
+	writer := logs.NewWriter(os.Stdout)
 	defer writer.Close()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	log := logs.New(writer)
-	if err := daemon.Run(ctx, settings, log, signals); err != nil {
+	if err := r.serve(ctx, settings, log); err != nil {
 		log.Error(err, "daemon: ended")
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
+// serve runs the balancer of the settings' binding.
+func (r *runCommand) serve(ctx context.Context, settings setup.Settings, log logr.Logger) error {
+	terminate := make(chan os.Signal, 2)
+	signal.Notify(terminate, syscall.SIGTERM, os.Interrupt)
+	if settings.Binding == setup.Owned {
+		return daemon.Run(ctx, settings, log, terminate)
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	return entry.Run(ctx, entry.Config{
+		Settings:  settings,
+		Reload:    func() (setup.Settings, error) { return setup.Load(r.settings) },
+		Log:       log,
+		Codec:     platform.Packets{},
+		Store:     platform.NewStore(settings.Platform),
+		ReadyPath: platform.ReadyPath,
+	}, terminate, reload)
+}
+
 // checkCommand checks a settings file.
 type checkCommand struct{}
 
