--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,344 @@
+package gossip_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"wigeonmoor.example/internal/gossip"
+	"wigeonmoor.example/internal/state"
+	"wigeonmoor.example/internal/tagged"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// fleet is a number of nodes on a network that loses, cuts and freezes.
+type fleet struct {
+	now    time.Time
+	random *rand.Rand
+	nodes  []*node
+	seeds  []netip.AddrPort
+	loss   float64
+	// side is each node's side of a cut.
+	side     map[int]int
+	inFlight []delivery
+	bytes    int
+	sent     int
+}
+
+type node struct {
+	*gossip.Node
+	number  int
+	replica *state.Replica
+	dead    bool
+	frozen  bool
+	loads   map[string]int
+	version state.Version
+	fell    bool
+}
+
+type delivery struct {
+	to, from int
+	data     []byte
+}
+
+func addressOf(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(number % 4), byte(number >> 8), byte(number)}), 7000)
+}
+
+func numberOf(address netip.AddrPort) int {
+	bytes := address.Addr().As4()
+	return int(bytes[2])<<8 | int(bytes[3])
+}
+
+func newFleet(size int, seed uint64) *fleet {
+	f := &fleet{now: start, random: rand.New(rand.NewPCG(seed, 7)), side: make(map[int]int)}
+	for number := range min(3, size) {
+		f.seeds = append(f.seeds, addressOf(number))
+	}
+	for number := range size {
+		f.nodes = append(f.nodes, nil)
+		f.start(number)
+	}
+	return f
+}
+
+// start begins a new life of a node, which knows nothing.
+func (f *fleet) start(number int) {
+	n := &node{number: number, replica: state.NewReplica(), loads: make(map[string]int)}
+	made, err := gossip.New(gossip.Config{
+		Name:    fmt.Sprintf("entry-%d", number),
+		Domain:  fmt.Sprintf("domain-%d", number%4),
+		Address: addressOf(number),
+		Seeds:   f.seeds,
+		Rand:    rand.New(rand.NewPCG(f.random.Uint64(), 1)),
+		Log:     logr.Discard(),
+		Replica: n.replica,
+		Loads: func(list []tagged.Load) []tagged.Load {
+			return append(list, tagged.Load{Tag: 1, Busy: number})
+		},
+		TakeLoads: func(peer string, loads []tagged.Load, _ time.Time) { n.loads[peer] = loads[0].Busy },
+		Changed: func(string, time.Time) {
+			if c := n.replica.Configuration(); c != nil {
+				n.fell = n.fell || c.Version < n.version
+				n.version = c.Version
+			}
+		},
+		Confirmed: func(time.Time) {},
+	})
+	if err != nil {
+		panic(err)
+	}
+	n.Node = made
+	f.nodes[number] = n
+}
+
+func (f *fleet) send(from int, messages []gossip.Message) {
+	for _, message := range messages {
+		f.sent++
+		f.bytes += len(message.Data)
+		f.inFlight = append(f.inFlight, delivery{to: numberOf(message.To), from: from, data: message.Data})
+	}
+}
+
+// run lets time pass; a datagram takes one step of 20 ms.
+func (f *fleet) run(span time.Duration) {
+	const step = 20 * time.Millisecond
+	for end := f.now.Add(span); f.now.Before(end); {
+		f.now = f.now.Add(step)
+		arriving := f.inFlight
+		f.inFlight = nil
+		for _, d := range arriving {
+			f.deliver(d)
+		}
+		for _, n := range f.nodes {
+			if !n.dead && !n.frozen {
+				f.send(n.number, n.Tick(f.now))
+			}
+		}
+	}
+}
+
+func (f *fleet) deliver(d delivery) {
+	to := f.nodes[d.to]
+	if to.dead || to.frozen || f.side[d.to] != f.side[d.from] || f.random.Float64() < f.loss {
+		return
+	}
+	messages, err := to.Receive(d.data, addressOf(d.from), f.now)
+	if err != nil {
+		panic(err)
+	}
+	f.send(d.to, messages)
+}
+
+// read gives one node what the platform has published.
+func (f *fleet) read(number int, delta state.Delta) {
+	f.send(number, f.nodes[number].TakeReading(delta, f.now))
+}
+
+func (f *fleet) live() []*node {
+	var list []*node
+	for _, n := range f.nodes {
+		if !n.dead {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// problem says what is wrong when everybody should know everybody.
+func (f *fleet) problem() string {
+	live := f.live()
+	readers := make(map[int]int)
+	for _, n := range live {
+		if got := n.Count(f.now); got != len(live) {
+			return fmt.Sprintf("node %d knows %d of %d live members", n.number, got, len(live))
+		}
+		if n.replica.Revision() != live[0].replica.Revision() {
+			return fmt.Sprintf("node %d is at revision %d, node %d at %d", n.number, n.replica.Revision(), live[0].number, live[0].replica.Revision())
+		}
+		if n.fell {
+			return fmt.Sprintf("node %d went back to an older version", n.number)
+		}
+		if n.Reader(f.now) {
+			readers[n.number%4]++
+		}
+	}
+	for domain, count := range readers {
+		if count != 1 {
+			return fmt.Sprintf("domain %d has %d readers", domain, count)
+		}
+	}
+	return ""
+}
+
+func whole(to state.Revision, version state.Version) state.Delta {
+	delta := state.Delta{Full: true, To: to, Configuration: &state.Configuration{Version: version, Revision: to}}
+	for number := range 400 {
+		delta.Configuration.Routes = append(delta.Configuration.Routes, state.Route{Name: fmt.Sprintf("route-%d", number), Listen: state.Endpoint(number)})
+	}
+	return delta
+}
+
+func TestEverybodyFindsEverybody(t *testing.T) {
+	for _, size := range []int{2, 8, 30, 90} {
+		f := newFleet(size, 1)
+		f.read(size-1, whole(5, 2)) // one is enough
+		f.run(3 * time.Second)
+		if problem := f.problem(); problem != "" {
+			t.Errorf("%d nodes: %s", size, problem)
+		}
+	}
+}
+
+func TestAllKilledAtOnce(t *testing.T) {
+	f := newFleet(8, 2)
+	f.read(0, whole(5, 2))
+	f.run(2 * time.Second)
+	for number := range f.nodes {
+		f.start(number)
+	}
+	f.read(7, whole(9, 4))
+	f.run(2 * time.Second)
+	if problem := f.problem(); problem != "" {
+		t.Error(problem)
+	}
+}
+
+func TestNewcomersWhenAllSeedsAreDead(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(8, 3)
+	f.read(0, whole(5, 2))
+	f.run(2 * time.Second)
+	for number := range 3 {
+		f.nodes[number].dead = true
+	}
+	f.run(3 * time.Second)
+	f.start(5) // it knows only dead seeds; the others remember it and call
+	f.run(6 * time.Second)
+	is.Equal(f.problem(), "")
+}
+
+func TestChangeSpreadsThroughOneReader(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(90, 4)
+	f.loss = 0.03
+	f.read(0, whole(5, 2))
+	f.run(4 * time.Second)
+	f.read(1, state.Delta{From: 5, To: 6, Configuration: whole(6, 3).Configuration})
+	f.run(1500 * time.Millisecond) // half of the tightest bound for a change
+	is.Equal(f.problem(), "")
+}
+
+func TestOneDomainFreezes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(12, 5)
+	f.read(0, whole(5, 2))
+	f.run(2 * time.Second)
+	for number := 0; number < 12; number += 4 {
+		f.nodes[number].frozen = true
+	}
+	f.read(1, state.Delta{From: 5, To: 6, Configuration: whole(6, 3).Configuration})
+	f.run(4 * time.Second)
+	for number := 0; number < 12; number += 4 {
+		f.nodes[number].frozen = false
+	}
+	f.run(4 * time.Second)
+	is.Equal(f.problem(), "")
+}
+
+func TestLoadsReachEverybody(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(8, 6)
+	f.run(2 * time.Second)
+	for _, n := range f.nodes {
+		is.Equal(len(n.loads), 7)
+		is.Equal(n.loads["entry-3"], map[bool]int{true: 0, false: 3}[n.number == 3])
+	}
+}
+
+// What a balancer sends must not grow with the fleet.
+func TestTrafficIsBounded(t *testing.T) {
+	for _, size := range []int{8, 30, 90, 300} {
+		f := newFleet(size, 7)
+		f.run(4 * time.Second)
+		f.bytes, f.sent = 0, 0
+		f.run(4 * time.Second)
+		each := f.bytes / size / 4
+		if each > 17_000 {
+			t.Errorf("%d nodes: %d bytes a second each, at most 17,000 are allowed", size, each)
+		}
+		t.Logf("%d nodes: %d bytes, %d datagrams a second each", size, each, f.sent/size/4)
+	}
+}
+
+// Whatever is killed, cut, frozen and published: after a calm time everybody knows
+// everybody and the newest revision, and no version has gone back.
+func TestPropertyViewsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(2, 12).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"))
+		f.loss = rapid.Float64Range(0, 0.1).Draw(t, "loss")
+		revision := state.Revision(1)
+		f.read(0, whole(revision, 1))
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			number := rapid.IntRange(0, len(f.nodes)-1).Draw(t, "node")
+			switch rapid.SampledFrom([]string{"kill", "restart", "freeze", "cut", "publish", "publish"}).Draw(t, "step") {
+			case "kill":
+				f.nodes[number].dead = true
+			case "restart":
+				f.start(number)
+			case "freeze":
+				f.nodes[number].frozen = !f.nodes[number].frozen
+			case "cut":
+				f.side[number] = 1 - f.side[number]
+			case "publish":
+				revision++
+				if !f.nodes[number].dead && !f.nodes[number].frozen {
+					f.read(number, whole(revision, state.Version(revision)))
+				}
+			}
+			f.run(time.Duration(rapid.IntRange(0, 2500).Draw(t, "pause")) * time.Millisecond)
+		}
+		clear(f.side)
+		f.loss = 0
+		for number, n := range f.nodes {
+			n.frozen = false
+			if n.dead {
+				f.start(number)
+			}
+		}
+		f.run(10 * time.Second)
+		f.read(0, whole(revision+1, state.Version(revision+1)))
+		f.run(2 * time.Second)
+		if problem := f.problem(); problem != "" {
+			t.Fatal(problem)
+		}
+	})
+}
+
+func TestDatagramsThatMakeNoSense(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, 8)
+	for _, data := range [][]byte{nil, {1, 2, 3}, {0x12, 0x00}} {
+		if _, err := f.nodes[0].Receive(data, addressOf(1), f.now); err == nil {
+			t.Errorf("%v was taken", data)
+		}
+	}
+	is.Equal(f.nodes[0].Count(f.now), 1)
+}
+
+func FuzzReceive(f *testing.F) {
+	fleet := newFleet(2, 9)
+	fleet.run(time.Second)
+	f.Add([]byte{0x0a, 0x02, 0x0a, 0x00})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		// It may refuse, but must neither panic nor allocate without bound.
+		_, _ = fleet.nodes[0].Receive(data, addressOf(1), fleet.now)
+	})
+}
--- a/internal/gossip/member.go
+++ b/internal/gossip/member.go
@@ -18,7 +18,7 @@
 	deadSpan = 1500 * time.Millisecond
 	// deadSpanEach is added for each known member, as a datagram tells of only
 	// membersTold of them.
-	deadSpanEach = 8 * time.Millisecond
+	deadSpanEach = 25 * time.Millisecond
 	// forgetSpan is how long dead members are remembered. Cuts last up to an hour.
 	forgetSpan = 2 * time.Hour
 	// revisitChance is the chance in each round to tell a member that seems dead.
--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,79 @@
+package health_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"wigeonmoor.example/internal/health"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// Each step is a letter and the millisecond at which it happens: S strike by a packet
+// sent 80 ms before, L sign of life, and the outcome of a check that starts then: A
+// answered, R refused, T silent; "-" means that no check was due.
+func TestHealth(t *testing.T) {
+	cases := []struct {
+		name, steps string
+		want        health.State
+		certain     bool
+	}{
+		{"new", "", health.Alive, false},
+		{"one unanswered packet", "S100", health.Suspected, false},
+		{"struck by what was sent before a sign of life", "L90 S100", health.Alive, false},
+		{"sign of life after a strike", "S100 L110", health.Alive, false},
+		{"no check without a strike", "-100", health.Alive, false},
+		{"one failed check is not enough", "S100 T100", health.Suspected, false},
+		{"two failed checks", "S100 T100 T210", health.Dead, false},
+		{"checks keep a pause", "S100 T100 -150", health.Suspected, false},
+		{"two refused checks", "S100 R100 R210", health.Dead, true},
+		{"refused later", "S100 T100 T210 R1000", health.Dead, true},
+		{"answered between two failures", "S100 T100 A210", health.Suspected, false},
+		{"calm after an answered check", "S100 A100 -200 -510", health.Alive, false},
+		{"dead and back", "S100 T100 T210 A1000", health.Alive, false},
+		{"dead shows life to a flow", "S100 T100 T210 L300", health.Alive, false},
+		{"check that fails after a sign of life", "S100 T100 L150 -210", health.Alive, false},
+	}
+	for _, c := range cases {
+		var h health.Health
+		for _, step := range strings.Fields(c.steps) {
+			play(t, c.name, &h, step)
+		}
+		if h.State() != c.want || h.Certain() != c.certain {
+			t.Errorf("%s: %s leads to %s, certain %v; want %s, %v", c.name, c.steps, h.State(), h.Certain(), c.want, c.certain)
+		}
+	}
+}
+
+func play(t *testing.T, name string, h *health.Health, step string) {
+	span, err := time.ParseDuration(step[1:] + "ms")
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := start.Add(span)
+	results := map[byte]health.Result{'A': health.Answered, 'R': health.Refused, 'T': health.Silent}
+	switch step[0] {
+	case 'S':
+		h.Strike(now.Add(-80*time.Millisecond), now)
+	case 'L':
+		h.Sign(now)
+	case '-':
+		if h.NeedsCheck(now) {
+			t.Errorf("%s: a check is due at %s", name, step)
+		}
+	default:
+		if !h.NeedsCheck(now) {
+			t.Errorf("%s: no check is due at %s", name, step)
+		}
+		h.Checked(results[step[0]], now)
+	}
+}
+
+func TestOneCheckAtATime(t *testing.T) {
+	var h health.Health
+	h.Strike(start, start)
+	if !h.NeedsCheck(start) || h.NeedsCheck(start.Add(time.Second)) {
+		t.Error("a second check starts before the first has ended")
+	}
+}
