First packets are put off while a service's servers are full

Change: above 4 requests a slot a first packet waits if the route's timeout leaves room for two attempts, and is refused otherwise. A request counts as load for 1 s.

--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -50,8 +50,9 @@
 	// sites.
 	coldFactor = 1.6
 	// busyLimit is the time after which an unanswered request no longer counts as
-	// load. It is the longest deadline of the users' requests (12 s).
-	busyLimit = 12 * time.Second
+	// load: its packets may go through another balancer by now. The longest work
+	// (430 ms) behind a full queue takes less.
+	busyLimit = time.Second
 )
 
 // Config sets a Core up.
@@ -90,10 +91,10 @@
 // Counters count decisions. They may be read at any time.
 type Counters struct {
 	Forwarded, Placed, PlacedAgain, Adopted      Counter
-	RefusedRoute, RefusedServers                 Counter
+	RefusedRoute, RefusedServers, RefusedBusy    Counter
 	DroppedNoTable, DroppedHeld, DroppedUnknown  Counter
 	DroppedStaleRoute, DroppedMalformed          Counter
-	DroppedUnsent                                Counter
+	DroppedUnsent, DroppedBusy                   Counter
 	Resets, Suspected, Died, Returned, Restarted Counter
 }
 
--- a/internal/tagged/place.go
+++ b/internal/tagged/place.go
@@ -46,12 +46,30 @@
 	if t == nil {
 		return c.refuseServers(p, route)
 	}
+	if admission := policy.Admit(c.pressure(), route.Timeout); admission != policy.Place {
+		return c.putOff(p, route, admission)
+	}
 	c.Counters.Placed.Add(1)
 	c.logFlow("tagged: flow placed", p.Key, t, "first packet")
 	c.record(p, route, t, now)
 	return c.forward(t)
 }
 
+// putOff does not place a flow now, as the servers are full.
+func (c *Core) putOff(p *Packet, route *state.Route, admission policy.Admission) Verdict {
+	pressure := c.pressure()
+	if log := c.settings.Decisions; log.Enabled() {
+		log.Info("tagged: flow put off", "Flow", p.Key.String(), "Route", route.Name, "Admission", admission,
+			"Busy", pressure.Busy, "Slots", pressure.Slots, "Copy", p.Copy, "Revision", c.table.Revision)
+	}
+	if admission == policy.Wait {
+		c.Counters.DroppedBusy.Add(1)
+		return Verdict{Action: Drop}
+	}
+	c.Counters.RefusedBusy.Add(1)
+	return Verdict{Action: Refuse}
+}
+
 // repeated decides for a copy of a first packet.
 func (c *Core) repeated(p *Packet, r *record, route *state.Route, now time.Time) Verdict {
 	unanswered := !r.opened && (p.Copy >= 2 || r.target.dead() || r.target.health.State() != health.Alive)
@@ -105,6 +123,16 @@
 	return c.options[index]
 }
 
+// pressure sums up the candidates of the last choice.
+func (c *Core) pressure() policy.Pressure {
+	var sum policy.Pressure
+	for index := range c.choices {
+		sum.Slots += c.choices[index].Slots
+		sum.Busy += c.choices[index].Busy
+	}
+	return sum
+}
+
 // eligible reports whether a server may get new flows.
 func eligible(t *target) bool {
 	return t.entry.Published() && t.entry.Standing == state.Serving && !t.entry.Shadowed && !t.dead()
