--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -190,7 +190,7 @@
 	for _, size := range []int{2, 8, 30, 90} {
 		f := newFleet(size, 1)
 		f.read(size-1, whole(5, 2)) // one is enough
-		f.run(4 * time.Second) // the platform's bound for catching up
+		f.run(4 * time.Second)      // the platform's bound for catching up
 		if problem := f.problem(); problem != "" {
 			t.Errorf("%d nodes: %s", size, problem)
 		}
