Balancers that do not reach the platform hand its reading over

Change: a reader whose calls fail says so, and the next in rank reads. Watches wait 2 s instead of 1 s; those whose view is old only glance, once a second; while calls fail none waits.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,9 +32,9 @@
 	// controlQueue bounds the work that waits for the control goroutine.
 	controlQueue = 1024
 	// staleSpan is the age of the view's last confirmation at which a balancer that
-	// does not read for its failure domain asks the platform itself: a watch (1 s),
+	// does not read for its failure domain asks the platform itself: a watch (2 s),
 	// a few rounds of gossip and a lost datagram.
-	staleSpan = 1800 * time.Millisecond
+	staleSpan = 2700 * time.Millisecond
 	// staleSpread varies that, so that balancers do not all ask at once.
 	staleSpread = 400 * time.Millisecond
 	// checkLimit is the time in which a backend server's instance must accept a
@@ -196,20 +196,35 @@
 func (e *Entry) follow(ctx context.Context) {
 	source.New(ctx, source.Config{
 		Store: e.config.Store,
-		Wanted: func() bool {
-			return e.reader.Load() || !e.loaded.Load() || e.age() > e.span
-		},
+		Need:  e.need,
 		Since: func() (state.Revision, bool) {
 			return state.Revision(e.reached.Load()), e.loaded.Load()
 		},
 		Take: func(reading source.Reading) {
 			e.do(func() { e.take(reading) })
 		},
-		Failed:   func(err error) { e.log.Info("source: platform lost", "Problem", err.Error()) },
-		Regained: func() { e.log.Info("source: platform regained") },
+		Failed: func(err error) {
+			e.log.Info("source: platform lost", "Problem", err.Error())
+			e.do(func() { e.send(e.node.SetBlind(true, time.Now())) })
+		},
+		Regained: func() {
+			e.log.Info("source: platform regained")
+			e.do(func() { e.send(e.node.SetBlind(false, time.Now())) })
+		},
 	})
 }
 
+// need says how this balancer is to read the platform now.
+func (e *Entry) need() source.Need {
+	switch {
+	case e.reader.Load() || !e.loaded.Load():
+		return source.Follow
+	case e.age() > e.span:
+		return source.Glance
+	}
+	return source.Nothing
+}
+
 // age returns how long ago the view was last known to be the newest.
 func (e *Entry) age() time.Duration {
 	return time.Since(e.started) - time.Duration(e.confirmed.Load())
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -157,6 +157,17 @@
 	return n.out
 }
 
+// SetBlind notes whether the platform can be reached from here, and tells peers at once
+// if that is news: another one is to read instead.
+func (n *Node) SetBlind(blind bool, now time.Time) []Message {
+	n.out = nil
+	if n.self.Blind != blind {
+		n.self.Blind = blind
+		n.round(now)
+	}
+	return n.out
+}
+
 // round tells a few members, and now and then one that seems dead: a cut may have
 // ended.
 func (n *Node) round(now time.Time) {
--- a/internal/gossip/member.go
+++ b/internal/gossip/member.go
@@ -160,21 +160,28 @@
 const readersPerDomain = 1
 
 // Reader reports whether this balancer is one of those that read the platform for
-// its failure domain: everybody ranks the live members alike.
+// its failure domain: everybody ranks the live members alike. Those that do not reach
+// the platform come last, so that one of them goes on trying when none does.
 func (n *Node) Reader(now time.Time) bool {
 	before := 0
-	own := rank(n.self.Name)
 	for _, m := range n.Live(now) {
-		if m.told.Domain == n.self.Domain && rank(m.told.Name) < own {
+		if m.told.Domain == n.self.Domain && readsBefore(m.told, &n.self) {
 			before++
 		}
 	}
 	reader := before < readersPerDomain && !n.self.Leaving
 	if reader != n.wasReader || !n.readerKnown {
-		n.settings.Log.Info("gossip: reading for the failure domain", "Reader", reader)
+		n.settings.Log.Info("gossip: reading for the failure domain", "Reader", reader, "Blind", n.self.Blind)
 	}
 	n.wasReader, n.readerKnown = reader, true
 	return reader
 }
 
+func readsBefore(one, other *wire.Member) bool {
+	if one.Blind != other.Blind {
+		return other.Blind
+	}
+	return rank(one.Name) < rank(other.Name)
+}
+
 func rank(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -23,10 +23,11 @@
 var ErrHistoryLost = errors.New("source: history is no longer available")
 
 const (
-	// watchSpan is how long a watch waits. A watch that is silent for longer is cut
-	// off, so that it bounds how late that is noticed: a third of the tightest bound
-	// for a change (3 s).
-	watchSpan = time.Second
+	// watchSpan is how long a watch waits. It bounds how late it is noticed that a
+	// connection is silent. Other failure domains' readers tell of changes meanwhile.
+	watchSpan = 2 * time.Second
+	// glanceSpan is the wait of a call that only asks whether there is news.
+	glanceSpan = time.Millisecond
 	// answerLimit is added for the call itself. The platform answers in 4 ms; slow
 	// days have 64 times that.
 	answerLimit = 700 * time.Millisecond
@@ -34,11 +35,26 @@
 	readLimit = 1500 * time.Millisecond
 	// retryFirst and retryMost bound the pause after failures.
 	retryFirst = 50 * time.Millisecond
-	retryMost  = 400 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+	// glancePause lies between two calls of a balancer that only glances.
+	glancePause = time.Second
 	// idlePause is how often a balancer that does not read looks whether it must.
 	idlePause = 100 * time.Millisecond
 )
 
+// Need says how a balancer is to read.
+type Need string
+
+// The needs.
+const (
+	// Nothing: peers feed this balancer.
+	Nothing Need = "Nothing"
+	// Glance: ask once whether there is news.
+	Glance Need = "Glance"
+	// Follow: keep a watch open.
+	Follow Need = "Follow"
+)
+
 // Reading is what the platform has answered.
 type Reading struct {
 	Delta state.Delta
@@ -57,8 +73,8 @@
 // Config sets a follower up. The callbacks are called from its goroutine.
 type Config struct {
 	Store Store
-	// Wanted reports whether this balancer is to read now.
-	Wanted func() bool
+	// Need says how this balancer is to read now.
+	Need func() Need
 	// Since returns the revision reached, false if nothing has been read yet.
 	Since func() (state.Revision, bool)
 	Take  func(Reading)
@@ -84,29 +100,41 @@
 func (f *Follower) follow(ctx context.Context) {
 	pause := retryFirst
 	for ctx.Err() == nil {
-		if !f.settings.Wanted() {
+		need := f.settings.Need()
+		if need == Nothing {
 			sleep(ctx, idlePause)
 			continue
 		}
-		reading, err := f.call(ctx)
+		reading, err := f.call(ctx, need)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil:
 			f.succeed(reading)
 			pause = retryFirst
-		case errors.Is(err, ErrHistoryLost):
+		case errors.Is(err, ErrHistoryLost) && !f.reread:
 			f.reread = true
+			continue
 		default:
 			f.fail(err)
-			sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+			sleep(ctx, vary(pause))
 			pause = min(2*pause, retryMost)
 		}
+		if need == Glance {
+			sleep(ctx, vary(glancePause))
+		}
 	}
 }
 
-// call reads everything once, and from then on what has changed.
-func (f *Follower) call(ctx context.Context) (Reading, error) {
+// vary returns a span that differs by up to a half, so that balancers do not call at
+// the same time.
+func vary(span time.Duration) time.Duration {
+	return span/2 + time.Duration(rand.Int64N(int64(span)))
+}
+
+// call reads everything once, and from then on what has changed. While calls fail it
+// does not wait for changes, so that the platform's return is noticed at once.
+func (f *Follower) call(ctx context.Context, need Need) (Reading, error) {
 	since, loaded := f.settings.Since()
 	if !loaded || f.reread {
 		ctx, cancel := context.WithTimeout(ctx, readLimit)
@@ -118,9 +146,13 @@
 		f.reread = false
 		return reading, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchSpan+answerLimit)
+	wait := watchSpan
+	if need == Glance || f.failing {
+		wait = glanceSpan
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+answerLimit)
 	defer cancel()
-	reading, err := f.settings.Store.Watch(ctx, since, watchSpan)
+	reading, err := f.settings.Store.Watch(ctx, since, wait)
 	if err != nil {
 		return Reading{}, fmt.Errorf("source: watch since %d: %w", since, err)
 	}
