An emulator of the platform for tagged flows

Change: internal/emul plays store, routers, callers and backend servers around cores and gossip nodes in one event loop (cuts, kills, freezes, crashes, drains, loss, a store that is down), and names broken promises: resets of live servers' flows, packets of another service, versions that go back, new flows at servers that have left or on dropped routes. Narrowed by traces, as the platform's rules have it: a reset counts when neither its balancer nor the links between domains were disturbed for 4 s (property, steps configure, crash, kill, cut, heal, add, cut, kill: the reset came while the link had just healed), and the bounds for drains and routes when the store has answered for 4 s besides (add, heal, kill, kill, kill, drain, down, heal: nobody could have known).

--- /dev/null
+++ b/internal/emul/balancer.go
@@ -0,0 +1,244 @@
+package emul
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"wigeonmoor.example/internal/gossip"
+	"wigeonmoor.example/internal/health"
+	"wigeonmoor.example/internal/state"
+	"wigeonmoor.example/internal/tagged"
+)
+
+const (
+	// rotationPeriod is how often a router asks a balancer whether it is ready.
+	rotationPeriod = 500 * time.Millisecond
+	// misses take a balancer out of the rotation.
+	misses = 2
+	// startTime is from a process's start to its first packet.
+	startTime = 60 * time.Millisecond
+	// watchTime is how late a reader hears of a change.
+	watchTime = 8 * time.Millisecond
+	// checkTime is how long a check waits for an answer.
+	checkTime = 250 * time.Millisecond
+)
+
+// Balancer is one balancer of a deployment.
+type Balancer struct {
+	p          *Platform
+	name       string
+	domain     string
+	number     int
+	core       *tagged.Core
+	node       *gossip.Node
+	replica    *state.Replica
+	life       int
+	alive      bool
+	frozen     bool
+	leaving    bool
+	inRotation bool
+	missed     int
+	version    state.Version
+	// disturbed is when the balancer was last started, killed or frozen.
+	disturbed time.Time
+}
+
+func (p *Platform) addBalancer(domain string) *Balancer {
+	b := &Balancer{p: p, domain: domain, number: len(p.Balancers), name: fmt.Sprintf("entry-%d", len(p.Balancers)), inRotation: true}
+	p.Balancers = append(p.Balancers, b)
+	p.after(0, b.rotate)
+	return b
+}
+
+// Start begins a new life of the balancer, which knows nothing.
+func (b *Balancer) Start() {
+	p := b.p
+	b.life++
+	b.disturbed = time.Now()
+	b.alive, b.frozen, b.leaving, b.version = true, false, false, 0
+	b.replica = state.NewReplica()
+	b.core = tagged.New(tagged.Config{
+		Domain: b.domain, MaxFlows: 100_000, Log: discard(), Decisions: discard(),
+		Rand: rand.New(rand.NewPCG(p.random.Uint64(), 1)),
+	})
+	node, err := gossip.New(gossip.Config{
+		Name: b.name, Domain: b.domain, Address: addressOf(b.number), Seeds: p.seeds(),
+		Rand: rand.New(rand.NewPCG(p.random.Uint64(), 1)), Log: discard(), Replica: b.replica,
+		Loads: b.core.Loads, TakeLoads: b.core.TakeLoads, Confirmed: b.core.Confirm,
+		Changed: func(_ string, now time.Time) { b.changed(now) },
+	})
+	if err != nil {
+		p.violated("balancer %s does not start: %v", b.name, err)
+		return
+	}
+	b.node = node
+	life := b.life
+	p.after(startTime, func() { b.tick(life) })
+}
+
+func (b *Balancer) changed(now time.Time) {
+	if c := b.replica.Configuration(); c != nil {
+		if c.Version < b.version {
+			b.p.violated("%s went back from version %d to %d", b.name, b.version, c.Version)
+		}
+		b.version = c.Version
+	}
+	b.core.SetTable(b.replica.Table(), now)
+}
+
+// Kill ends the process.
+func (b *Balancer) Kill() {
+	b.alive = false
+	b.disturbed = time.Now()
+}
+
+// Freeze stops the process for a while.
+func (b *Balancer) Freeze(span time.Duration) {
+	b.frozen = true
+	b.p.after(span, func() {
+		b.frozen = false
+		b.disturbed = time.Now()
+		if b.alive {
+			b.core.Hold(time.Now())
+		}
+	})
+}
+
+// Restart ends the process gracefully and starts it again.
+func (b *Balancer) Restart(linger time.Duration) {
+	b.leaving = true
+	b.send(b.node.Leave(time.Now()))
+	b.p.after(linger, b.Start)
+}
+
+func (b *Balancer) works() bool { return b.alive && !b.frozen }
+
+func (b *Balancer) ready() bool {
+	return b.works() && !b.leaving && b.replica.Loaded() && b.core.Reachable()
+}
+
+// rotate is the router's look at a balancer.
+func (b *Balancer) rotate() {
+	b.missed++
+	if b.ready() {
+		b.missed, b.inRotation = 0, true
+	}
+	if b.missed >= misses {
+		b.inRotation = false
+	}
+	b.p.after(rotationPeriod, b.rotate)
+}
+
+func (b *Balancer) tick(life int) {
+	if b.life != life || !b.alive {
+		return
+	}
+	b.p.after(tagged.TickPeriod, func() { b.tick(life) })
+	if b.frozen {
+		return
+	}
+	now := time.Now()
+	b.send(b.node.Tick(now))
+	b.read(now)
+	output := b.core.Tick(now)
+	for _, reset := range output.Resets {
+		b.p.reset(b, reset.Key, "without being asked")
+	}
+	for _, check := range output.Checks {
+		b.check(check, life)
+	}
+}
+
+// read takes what the store has, as a reader's watch would.
+func (b *Balancer) read(now time.Time) {
+	p := b.p
+	if p.storeDown || b.replica.Loaded() && !b.node.Reader(now) {
+		return
+	}
+	since := state.Revision(0)
+	delta := p.store.Since(0)
+	delta.Full = !b.replica.Loaded()
+	if b.replica.Loaded() {
+		since = b.replica.Revision()
+		delta = p.store.Since(since)
+	}
+	life := b.life
+	p.after(watchTime, func() {
+		if b.life == life && b.works() {
+			b.send(b.node.TakeReading(delta, time.Now()))
+		}
+	})
+}
+
+func (b *Balancer) check(check tagged.Check, life int) {
+	result, delay := b.p.listens(b, check)
+	b.p.after(delay, func() {
+		if b.life == life && b.works() {
+			b.core.Checked(check.Backend, result, time.Now())
+		}
+	})
+}
+
+// listens returns what a connection to a backend server's address finds.
+func (p *Platform) listens(b *Balancer, check tagged.Check) (health.Result, time.Duration) {
+	for _, s := range p.Servers {
+		if s.backend.Address != check.Address || p.cut(b.domain, s.backend.Domain) || s.dark {
+			continue
+		}
+		if s.ended {
+			return health.Refused, 2 * p.settings.Across
+		}
+		return health.Answered, 2 * p.settings.Across
+	}
+	return health.Silent, checkTime
+}
+
+func (b *Balancer) send(messages []gossip.Message) {
+	for _, message := range messages {
+		for _, to := range b.p.Balancers {
+			if addressOf(to.number) == message.To {
+				b.p.carry(b.domain, to.domain, func() { to.receive(message.Data, b.number) })
+			}
+		}
+	}
+}
+
+func (b *Balancer) receive(data []byte, from int) {
+	if !b.works() {
+		return
+	}
+	messages, err := b.node.Receive(data, addressOf(from), time.Now())
+	if err != nil {
+		b.p.Violations = append(b.p.Violations, errors.Unwrap(err).Error())
+	}
+	b.send(messages)
+}
+
+// packet has the balancer decide for a caller's packet.
+func (b *Balancer) packet(f *flow, packet tagged.Packet, data request) {
+	if b == nil || !b.works() {
+		return
+	}
+	verdict := b.core.Packet(&packet, time.Now())
+	switch verdict.Action {
+	case tagged.Refuse:
+		b.p.reset(b, packet.Key, "in answer to a packet")
+	case tagged.Forward:
+		for _, s := range b.p.Servers {
+			if s.backend.Address == verdict.To {
+				b.p.carry(b.domain, s.backend.Domain, func() { s.receive(b, f, packet, verdict, data) })
+			}
+		}
+	}
+}
+
+func (p *Platform) seeds() []netip.AddrPort {
+	var list []netip.AddrPort
+	for number := range min(3, len(p.Balancers)) {
+		list = append(list, addressOf(number))
+	}
+	return list
+}
--- /dev/null
+++ b/internal/emul/emul_test.go
@@ -0,0 +1,194 @@
+package emul_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wigeonmoor.example/internal/emul"
+)
+
+// play runs a deployment through trouble with callers asking all the while, and
+// checks that no promise is broken and enough is served.
+func play(t *testing.T, settings emul.Config, span time.Duration, served float64, trouble func(p *emul.Platform, after func(time.Duration, func()))) {
+	synctest.Test(t, func(t *testing.T) {
+		p := emul.New(settings)
+		p.Run(2*time.Second, false)
+		trouble(p, p.After)
+		p.Run(span, true)
+		p.Run(5*time.Second, false)
+		report(t, p, served)
+	})
+}
+
+func report(t *testing.T, p *emul.Platform, served float64) {
+	for index, violation := range p.Violations {
+		if index < 5 {
+			t.Error(violation)
+		}
+	}
+	if len(p.Violations) > 5 {
+		t.Errorf("and %d more", len(p.Violations)-5)
+	}
+	for name, r := range p.Results {
+		got := float64(r.InObjective+r.Late) / float64(r.Asked)
+		line := fmt.Sprintf("%s: asked %d, in objective %d, late %d, failed %d, shed %d", name, r.Asked, r.InObjective, r.Late, r.Failed, r.Shed)
+		t.Log(line)
+		if r.Asked == 0 || got < served {
+			t.Errorf("%s: served %.3f, want %.3f", line, got, served)
+		}
+	}
+}
+
+func TestCalmDay(t *testing.T) {
+	play(t, emul.Timers(1), 20*time.Second, 0.999, func(*emul.Platform, func(time.Duration, func())) {})
+}
+
+func TestEveryBalancerIsReplaced(t *testing.T) {
+	play(t, emul.Timers(2), 20*time.Second, 0.995, func(p *emul.Platform, after func(time.Duration, func())) {
+		for index, b := range p.Balancers {
+			after(time.Duration(index+1)*2*time.Second, func() { b.Restart(4 * time.Second) })
+		}
+	})
+}
+
+func TestBackendServersAreReplaced(t *testing.T) {
+	play(t, emul.Timers(3), 20*time.Second, 0.995, func(p *emul.Platform, after func(time.Duration, func())) {
+		for index, s := range p.Servers[:6] {
+			after(time.Duration(index+1)*2*time.Second, func() {
+				p.AddServer("planning", "domain-0")
+				s.Drain(4 * time.Second)
+			})
+		}
+	})
+}
+
+func TestAllBalancersKilled(t *testing.T) {
+	play(t, emul.Timers(4), 15*time.Second, 0.95, func(p *emul.Platform, after func(time.Duration, func())) {
+		after(5*time.Second, func() {
+			for _, b := range p.Balancers {
+				b.Kill()
+				after(time.Second, b.Start)
+			}
+		})
+	})
+}
+
+func TestBackendServersCrash(t *testing.T) {
+	for _, dark := range []bool{false, true} {
+		play(t, emul.Timers(5), 15*time.Second, 0.98, func(p *emul.Platform, after func(time.Duration, func())) {
+			after(4*time.Second, func() { p.Servers[0].Crash(dark, 3*time.Second) })
+			after(7*time.Second, func() { p.Servers[6].Crash(dark, 3*time.Second) })
+		})
+	}
+}
+
+func TestDomainCut(t *testing.T) {
+	play(t, emul.Timers(6), 20*time.Second, 0.95, func(p *emul.Platform, after func(time.Duration, func())) {
+		after(4*time.Second, func() { p.Cut(1) })
+		after(10*time.Second, p.Heal)
+	})
+}
+
+func TestBalancersFreeze(t *testing.T) {
+	play(t, emul.Timers(7), 20*time.Second, 0.95, func(p *emul.Platform, after func(time.Duration, func())) {
+		for index := range 3 {
+			after(time.Duration(3+4*index)*time.Second, func() { p.Balancers[2*index].Freeze(4 * time.Second) })
+		}
+	})
+}
+
+func TestStoreDownWhileMuchChanges(t *testing.T) {
+	play(t, emul.Timers(8), 25*time.Second, 0.95, func(p *emul.Platform, after func(time.Duration, func())) {
+		after(3*time.Second, func() { p.SetStore(true) })
+		after(5*time.Second, func() { p.Servers[0].Crash(false, 3*time.Second) })
+		after(6*time.Second, func() { p.Balancers[1].Restart(4 * time.Second) })
+		after(7*time.Second, func() { p.Balancers[4].Kill(); after(time.Second, p.Balancers[4].Start) })
+		after(12*time.Second, func() { p.SetStore(false) })
+	})
+}
+
+func TestLossyLinks(t *testing.T) {
+	settings := emul.Timers(9)
+	settings.Loss = 0.025
+	play(t, settings, 20*time.Second, 0.97, func(*emul.Platform, func(time.Duration, func())) {})
+}
+
+func TestRouteIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := emul.New(emul.Timers(10))
+		p.Run(5*time.Second, true)
+		p.Configure(map[string]bool{"logbook": true})
+		p.Run(10*time.Second, true)
+		if len(p.Violations) > 0 {
+			t.Error(p.Violations[0])
+		}
+		if r := p.Results["logbook"]; r.Failed < r.Asked/2 {
+			t.Errorf("%d of %d requests of a dropped route failed", r.Failed, r.Asked)
+		}
+	})
+}
+
+// Whatever comes together: no live server's flow is reset, no service gets another's
+// flows, no version goes back, and nothing new reaches a server that has left.
+func TestPropertyPromises(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		seed := rapid.Uint64().Draw(r, "seed")
+		loss := rapid.SampledFrom([]float64{0, 0, 0.02}).Draw(r, "loss")
+		steps := rapid.SliceOfN(rapid.SampledFrom([]string{"kill", "restart", "freeze", "crash", "dark", "drain", "add", "cut", "heal", "down", "up", "drop", "configure"}), 1, 8).Draw(r, "steps")
+		gaps := rapid.SliceOfN(rapid.IntRange(0, 2500), len(steps), len(steps)).Draw(r, "gaps")
+		target := rapid.IntRange(0, 7).Draw(r, "target")
+		var violations []string
+		synctest.Test(t, func(t *testing.T) {
+			settings := emul.Timers(seed)
+			settings.Loss = loss
+			for index := range settings.Classes {
+				settings.Classes[index].PerSecond /= 4
+			}
+			p := emul.New(settings)
+			p.Run(2*time.Second, false)
+			for index, step := range steps {
+				strike(p, step, target+index)
+				p.Run(time.Duration(gaps[index])*time.Millisecond, true)
+			}
+			p.Run(3*time.Second, true)
+			violations = p.Violations
+		})
+		if len(violations) > 0 {
+			r.Fatalf("%v after %v: %s", steps, gaps, violations[0])
+		}
+	})
+}
+
+func strike(p *emul.Platform, step string, target int) {
+	balancer := p.Balancers[target%len(p.Balancers)]
+	server := p.Servers[target%len(p.Servers)]
+	switch step {
+	case "kill":
+		balancer.Kill()
+		p.After(time.Second, balancer.Start)
+	case "restart":
+		balancer.Restart(4 * time.Second)
+	case "freeze":
+		balancer.Freeze(3 * time.Second)
+	case "crash", "dark":
+		server.Crash(step == "dark", 3*time.Second)
+	case "drain":
+		server.Drain(4 * time.Second)
+	case "add":
+		p.AddServer("planning", "domain-1")
+	case "cut":
+		p.Cut(target % 4)
+	case "heal":
+		p.Heal()
+	case "down", "up":
+		p.SetStore(step == "down")
+	case "drop":
+		p.Configure(map[string]bool{"change": true})
+	case "configure":
+		p.Configure(nil)
+	}
+}
