Two readers for the fleet, JSON logs within a budget, and metrics

Change: two balancers of two failure domains read for all, and pause for 200 ms after a change, as changes come in groups.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -75,6 +75,7 @@
 	started time.Time
 	span    time.Duration
 	clock   pauseClock
+	meters  *meters
 
 	ready   atomic.Bool
 	leaving atomic.Bool
@@ -84,6 +85,7 @@
 	confirmed atomic.Int64
 	reached   atomic.Uint64
 	loaded    atomic.Bool
+	members   atomic.Int64
 	dropped   atomic.Int64
 }
 
@@ -122,8 +124,10 @@
 	if !settings.LogDecisions {
 		decisions = logr.Discard()
 	}
+	meters := newMeters()
 	e := &Entry{
 		config:  config,
+		meters:  meters,
 		log:     config.Log,
 		replica: state.NewReplica(),
 		queue:   make(chan func(), controlQueue),
@@ -135,8 +139,10 @@
 			Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			Log:       config.Log,
 			Decisions: decisions,
+			Handshake: func(span time.Duration) { meters.handshake.Update(span.Seconds()) },
 		}),
 	}
+	meters.publish(e)
 	var err error
 	e.node, err = gossip.New(gossip.Config{
 		Name:      settings.Instance.Name,
@@ -203,6 +209,7 @@
 		Take: func(reading source.Reading) {
 			e.do(func() { e.take(reading) })
 		},
+		Called: func(span time.Duration) { e.meters.call.Update(span.Seconds()) },
 		Failed: func(err error) {
 			e.log.Info("source: platform lost", "Problem", err.Error())
 			e.do(func() { e.send(e.node.SetBlind(true, time.Now())) })
@@ -282,6 +289,7 @@
 	e.replica.Forget(now)
 	e.send(e.node.Tick(now))
 	e.reader.Store(e.node.Reader(now))
+	e.members.Store(int64(e.node.Count(now)))
 	e.reached.Store(uint64(e.replica.Revision()))
 	output := e.core.Tick(now)
 	e.sendResets(output.Resets)
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -25,7 +25,7 @@
 	buffer := make([]byte, room+maxPacketBytes)
 	var packet tagged.Packet
 	var reset []byte
-	for {
+	for packets := 0; ; packets++ {
 		count, _, err := e.traffic.ReadFromUDPAddrPort(buffer[room:])
 		if errors.Is(err, net.ErrClosed) {
 			return
@@ -38,7 +38,11 @@
 			e.core.Counters.DroppedMalformed.Add(1)
 			continue
 		}
-		verdict := e.core.Packet(&packet, time.Now())
+		now := time.Now()
+		verdict := e.core.Packet(&packet, now)
+		if packets%sampleEvery == 0 {
+			e.meters.observeDecision(now)
+		}
 		switch verdict.Action {
 		case tagged.Forward:
 			e.config.Codec.Address(datagram, verdict.ID, verdict.Tag)
--- a/internal/gossip/member.go
+++ b/internal/gossip/member.go
@@ -155,33 +155,45 @@
 	return told
 }
 
-// readersPerDomain is how many balancers of a failure domain read the platform for
-// all. Others step in when the view grows old.
-const readersPerDomain = 1
-
-// Reader reports whether this balancer is one of those that read the platform for
-// its failure domain: everybody ranks the live members alike. Those that do not reach
-// the platform come last, so that one of them goes on trying when none does.
+// Reader reports whether this balancer is one of the two that read the platform for
+// all, in two failure domains where there are two. Everybody ranks the live members
+// alike. Those that do not reach the platform come last, so that one of them goes on
+// trying when none does. One reader in each domain was tried: a change costs each
+// reader a call, and a domain that is cut off chooses readers of its own anyway.
 func (n *Node) Reader(now time.Time) bool {
-	before := 0
-	for _, m := range n.Live(now) {
-		if m.told.Domain == n.self.Domain && readsBefore(m.told, &n.self) {
-			before++
-		}
-	}
-	reader := before < readersPerDomain && !n.self.Leaving
+	first, second := n.readers(now)
+	reader := (first == &n.self || second == &n.self) && !n.self.Leaving
 	if reader != n.wasReader || !n.readerKnown {
-		n.settings.Log.Info("gossip: reading for the failure domain", "Reader", reader, "Blind", n.self.Blind)
+		n.settings.Log.Info("gossip: reading for the fleet", "Reader", reader, "Blind", n.self.Blind)
 	}
 	n.wasReader, n.readerKnown = reader, true
 	return reader
 }
 
-func readsBefore(one, other *wire.Member) bool {
+// readers returns the first in rank, and the next one of another failure domain.
+func (n *Node) readers(now time.Time) (first, second *wire.Member) {
+	ranked := []*wire.Member{&n.self}
+	for _, m := range n.Live(now) {
+		ranked = append(ranked, m.told)
+	}
+	first = slices.MinFunc(ranked, compareReaders)
+	for _, candidate := range ranked {
+		elsewhere := candidate.Domain != first.Domain
+		if candidate != first && elsewhere && (second == nil || compareReaders(candidate, second) < 0) {
+			second = candidate
+		}
+	}
+	return first, second
+}
+
+func compareReaders(one, other *wire.Member) int {
 	if one.Blind != other.Blind {
-		return other.Blind
+		if one.Blind {
+			return 1
+		}
+		return -1
 	}
-	return rank(one.Name) < rank(other.Name)
+	return cmp.Compare(rank(one.Name), rank(other.Name))
 }
 
 func rank(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -70,3 +70,8 @@
 func New(w io.Writer) logr.Logger {
 	return logr.FromSlogHandler(slog.NewTextHandler(w, nil))
 }
+
+// NewJSON returns a logger that writes one JSON object a line, within a Budget.
+func NewJSON(w io.Writer) logr.Logger {
+	return logr.FromSlogHandler(NewBudget(slog.NewJSONHandler(w, nil)))
+}
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -38,6 +38,8 @@
 	retryMost  = 500 * time.Millisecond
 	// glancePause lies between two calls of a balancer that only glances.
 	glancePause = time.Second
+	// changePause lies between a change and the next watch, as changes come in groups.
+	changePause = 200 * time.Millisecond
 	// idlePause is how often a balancer that does not read looks whether it must.
 	idlePause = 100 * time.Millisecond
 )
@@ -78,6 +80,8 @@
 	// Since returns the revision reached, false if nothing has been read yet.
 	Since func() (state.Revision, bool)
 	Take  func(Reading)
+	// Called, if set, gets the time of each call that did not wait for changes.
+	Called func(time.Duration)
 	// Failed and Regained tell of the platform getting out of reach and back.
 	Failed   func(error)
 	Regained func()
@@ -105,6 +109,7 @@
 			sleep(ctx, idlePause)
 			continue
 		}
+		since, _ := f.settings.Since()
 		reading, err := f.call(ctx, need)
 		switch {
 		case ctx.Err() != nil:
@@ -112,6 +117,9 @@
 		case err == nil:
 			f.succeed(reading)
 			pause = retryFirst
+			if reading.Delta.To > since {
+				sleep(ctx, changePause)
+			}
 		case errors.Is(err, ErrHistoryLost) && !f.reread:
 			f.reread = true
 			continue
@@ -139,6 +147,7 @@
 	if !loaded || f.reread {
 		ctx, cancel := context.WithTimeout(ctx, readLimit)
 		defer cancel()
+		defer f.time(time.Now())
 		reading, err := f.settings.Store.Read(ctx)
 		if err != nil {
 			return Reading{}, fmt.Errorf("source: read everything: %w", err)
@@ -152,6 +161,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+answerLimit)
 	defer cancel()
+	if wait == glanceSpan {
+		defer f.time(time.Now())
+	}
 	reading, err := f.settings.Store.Watch(ctx, since, wait)
 	if err != nil {
 		return Reading{}, fmt.Errorf("source: watch since %d: %w", since, err)
@@ -159,6 +171,12 @@
 	return reading, nil
 }
 
+func (f *Follower) time(began time.Time) {
+	if f.settings.Called != nil {
+		f.settings.Called(time.Since(began))
+	}
+}
+
 func (f *Follower) succeed(reading Reading) {
 	if f.failing {
 		f.failing = false
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -88,6 +88,9 @@
 		p.revision = 6
 		time.Sleep(10 * time.Millisecond)
 		is.Equal(p.newest(), state.Revision(6))
+		p.revision = 7 // comes in a group with the one before
+		time.Sleep(210 * time.Millisecond)
+		is.Equal(p.newest(), state.Revision(7))
 		before := p.watches
 		time.Sleep(20 * time.Second)
 		is.True(p.watches-before <= 11) // one each watch's span
--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -65,6 +65,9 @@
 	// Log gets changes of belief, Decisions a line for each flow.
 	Log       logr.Logger
 	Decisions logr.Logger
+	// Handshake, if set, gets the time from a flow's first packet to the first sight
+	// of its handshake's end.
+	Handshake func(time.Duration)
 }
 
 // Core decides for packets.
--- a/internal/tagged/record.go
+++ b/internal/tagged/record.go
@@ -194,6 +194,9 @@
 	} else {
 		c.setBusy(r, false)
 	}
+	if c.settings.Handshake != nil {
+		c.settings.Handshake(now.Sub(r.sent))
+	}
 	r.opened = true
 	r.struck = false
 	r.acknowledged = p.Acknowledged
--- a/wigeond/main.go
+++ b/wigeond/main.go
@@ -63,6 +63,9 @@
 	writer := logs.NewWriter(os.Stdout)
 	defer writer.Close()
 	log := logs.New(writer)
+	if settings.Binding == setup.Tagged {
+		log = logs.NewJSON(writer)
+	}
 	if err := r.serve(ctx, settings, log); err != nil {
 		log.Error(err, "daemon: ended")
 		return subcommands.ExitFailure
