Silent failure domains are checked as a whole

Change: two servers that do not answer, and no sign of life from their domain since, put all its servers to the check; each is dead only if its own checks fail.

--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -23,7 +23,7 @@
 	// watchTime is how late a reader hears of a change.
 	watchTime = 8 * time.Millisecond
 	// checkTime is how long a check waits for an answer.
-	checkTime = 250 * time.Millisecond
+	checkTime = 150 * time.Millisecond
 )
 
 // Balancer is one balancer of a deployment.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,8 +38,9 @@
 	// staleSpread varies that, so that balancers do not all ask at once.
 	staleSpread = 400 * time.Millisecond
 	// checkLimit is the time in which a backend server's instance must accept a
-	// connection. Round trips are up to 3 ms between failure domains.
-	checkLimit = 250 * time.Millisecond
+	// connection. Round trips are up to 3 ms between failure domains, and a balancer
+	// may stand still for a tenth of a second when its processor quota is used up.
+	checkLimit = 150 * time.Millisecond
 	// startLimit is how long a starting balancer waits for the newest view before it
 	// is ready with what peers have told.
 	startLimit = 1500 * time.Millisecond
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -34,9 +34,9 @@
 	// failuresToDie is how many active checks in a row must fail. One may be lost
 	// with a packet.
 	failuresToDie = 2
-	// checkPause lies between two checks of a suspected server: a connection's first
-	// packet is answered within 10 ms on the users' sites.
-	checkPause = 100 * time.Millisecond
+	// checkPause lies between two checks of a suspected server, so that one burst of
+	// lost packets does not fail both.
+	checkPause = 50 * time.Millisecond
 	// deadPause lies between two checks of a dead server, to find its return.
 	deadPause = 700 * time.Millisecond
 	// calmSpan is how long a server that answered a check stays suspected without a
--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -84,6 +84,7 @@
 	flows     records
 	peers     map[string]peerLoad
 	classes   map[state.Endpoint]*class
+	domains   map[string]*domain
 	openShare float64
 	choices   []policy.Candidate
 	options   []*target
@@ -134,6 +135,7 @@
 		flows:    newRecords(settings.MaxFlows),
 		peers:    make(map[string]peerLoad),
 		classes:  make(map[state.Endpoint]*class),
+		domains:  make(map[string]*domain),
 	}
 }
 
--- a/internal/tagged/place.go
+++ b/internal/tagged/place.go
@@ -21,7 +21,7 @@
 
 // remoteLeast is what crossing failure domains costs at least, in requests in
 // progress: a few milliseconds against tens.
-const remoteLeast = 0.15
+const remoteLeast = 0.6
 
 // first decides for a first packet.
 func (c *Core) first(p *Packet, now time.Time) Verdict {
--- a/internal/tagged/record.go
+++ b/internal/tagged/record.go
@@ -174,7 +174,7 @@
 		r.acknowledged = p.Acknowledged
 		r.struck = false
 		c.setBusy(r, false)
-		t.health.Sign(now)
+		c.sign(t, now)
 	}
 	c.observeData(r, p, now)
 	if p.Last && !r.closed {
@@ -201,7 +201,7 @@
 	r.struck = false
 	r.acknowledged = p.Acknowledged
 	r.expected = p.Sequence
-	t.health.Sign(now)
+	c.sign(t, now)
 }
 
 func (c *Core) observeData(r *record, p *Packet, now time.Time) {
--- a/internal/tagged/sweep.go
+++ b/internal/tagged/sweep.go
@@ -79,6 +79,7 @@
 	c.Counters.Suspected.Add(1)
 	c.settings.Log.Info("tagged: backend server suspected", "Backend", t.entry.Name, "Reason", reason,
 		"Waited", now.Sub(sent).String(), "SinceSign", sinceSign(t, now))
+	c.strikeDomain(t, sent, now)
 }
 
 func sinceSign(t *target, now time.Time) string {
