--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -61,7 +61,7 @@
 	b.alive, b.frozen, b.leaving, b.version = true, false, false, 0
 	b.replica = state.NewReplica()
 	b.core = tagged.New(tagged.Config{
-		Domain: b.domain, MaxFlows: 100_000, Log: discard(), Decisions: discard(),
+		Domain: b.domain, MaxFlows: 100_000, Log: discard(), Decisions: discard(), Policy: p.settings.Policy,
 		Rand: rand.New(rand.NewPCG(p.random.Uint64(), 1)),
 	})
 	node, err := gossip.New(gossip.Config{
--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -18,6 +18,7 @@
 	"github.com/go-logr/logr"
 
 	"wigeonmoor.example/internal/model"
+	"wigeonmoor.example/internal/policy"
 	"wigeonmoor.example/internal/state"
 	"wigeonmoor.example/internal/tagged"
 )
@@ -32,6 +33,8 @@
 	// InDomain and Across are one-way delays, ToCaller that between callers and all
 	// else.
 	InDomain, Across, ToCaller time.Duration
+	// Policy is the balancers' choice of backend servers, nil their own.
+	Policy policy.Policy
 	// Loss is the share of packets that are lost.
 	Loss float64
 }
--- a/internal/policy/admit.go
+++ b/internal/policy/admit.go
@@ -23,9 +23,13 @@
 )
 
 const (
-	// fullLimit is the requests in progress for each slot at which servers are
-	// about to refuse requests: they queue four to five for a slot.
-	fullLimit = 4.0
+	// waitLimit is the requests in progress for each slot above which first packets
+	// wait. Servers queue four for a slot beside the one at work.
+	waitLimit = 4.0
+	// refuseLimit is the same for those that are refused. It is higher, as a refusal
+	// uses up one of the caller's few retries, and the sum counts a flow twice for a
+	// while after it has moved to another balancer.
+	refuseLimit = 5.5
 	// attemptSpan is how long a caller's attempt to open a flow lasts.
 	attemptSpan = 1400 * time.Millisecond
 	// attemptsToWait is how many attempts a caller's timeout must leave room for.
@@ -38,11 +42,12 @@
 // place; the wait for a copy of the first packet costs the caller less, if there is
 // time for it.
 func Admit(pressure Pressure, timeout time.Duration) Admission {
-	if pressure.Busy < fullLimit*pressure.Slots {
-		return Place
-	}
-	if timeout >= attemptsToWait*attemptSpan {
+	patient := timeout >= attemptsToWait*attemptSpan
+	switch {
+	case patient && pressure.Busy >= waitLimit*pressure.Slots:
 		return Wait
+	case !patient && pressure.Busy >= refuseLimit*pressure.Slots:
+		return Refuse
 	}
-	return Refuse
+	return Place
 }
--- /dev/null
+++ b/internal/policy/policy_test.go
@@ -0,0 +1,76 @@
+package policy_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wigeonmoor.example/internal/policy"
+)
+
+func TestLeastLoadedOrder(t *testing.T) {
+	flow := policy.Flow{OpenShare: 0.1, RemoteCost: 0.6}
+	cases := []struct {
+		name          string
+		better, worse policy.Candidate
+	}{
+		{"fewer requests", policy.Candidate{Slots: 2, Busy: 1}, policy.Candidate{Slots: 2, Busy: 3}},
+		{"more slots", policy.Candidate{Slots: 3, Busy: 2}, policy.Candidate{Slots: 1, Busy: 1}},
+		{"fewer open flows", policy.Candidate{Slots: 2, Open: 10}, policy.Candidate{Slots: 2, Open: 40}},
+		{"same domain", policy.Candidate{Slots: 2, Busy: 1}, policy.Candidate{Slots: 2, Busy: 1, Remote: true}},
+		{"another domain when this one queues", policy.Candidate{Slots: 2, Remote: true}, policy.Candidate{Slots: 2, Busy: 4}},
+		{"warm", policy.Candidate{Slots: 2, Busy: 1}, policy.Candidate{Slots: 2 / 1.6, Busy: 1}},
+	}
+	for _, c := range cases {
+		better, worse := policy.LeastLoaded{}.Score(c.better, flow), policy.LeastLoaded{}.Score(c.worse, flow)
+		if better >= worse {
+			t.Errorf("%s: %v scores %v, %v scores %v", c.name, c.better, better, c.worse, worse)
+		}
+	}
+}
+
+func TestSuspectedAreTheLastResort(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	busy := policy.Candidate{Slots: 1, Busy: 50}
+	suspected := policy.Candidate{Slots: 8, Suspected: true}
+	for range 100 {
+		if index, _ := policy.Choose(policy.LeastLoaded{}, []policy.Candidate{suspected, busy, suspected}, policy.Flow{}, random); index != 1 {
+			t.Fatal("a suspected server was preferred to a busy one")
+		}
+	}
+	if index, ok := policy.Choose(policy.LeastLoaded{}, []policy.Candidate{suspected}, policy.Flow{}, random); !ok || index != 0 {
+		t.Error("the only server was not chosen")
+	}
+	if _, ok := policy.Choose(policy.LeastLoaded{}, nil, policy.Flow{}, random); ok {
+		t.Error("one of no servers was chosen")
+	}
+}
+
+func TestAdmit(t *testing.T) {
+	cases := []struct {
+		busy    float64
+		timeout time.Duration
+		want    policy.Admission
+	}{
+		{0, 4 * time.Second, policy.Place},
+		{39, 4 * time.Second, policy.Place},
+		{40, 4 * time.Second, policy.Wait},
+		{40, 2 * time.Second, policy.Place},
+		{55, 2 * time.Second, policy.Refuse},
+		{55, 0, policy.Refuse},
+	}
+	for _, c := range cases {
+		if got := policy.Admit(policy.Pressure{Slots: 10, Busy: c.busy}, c.timeout); got != c.want {
+			t.Errorf("%v in progress on 10 slots with timeout %v: %s, want %s", c.busy, c.timeout, got, c.want)
+		}
+	}
+}
+
+func ExampleChoose() {
+	random := rand.New(rand.NewPCG(1, 2))
+	candidates := []policy.Candidate{{Slots: 2, Busy: 4}, {Slots: 2, Busy: 0}}
+	index, _ := policy.Choose(policy.LeastLoaded{}, candidates, policy.Flow{}, random)
+	fmt.Println(index)
+	// Output: 1
+}
--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -62,6 +62,8 @@
 	// MaxFlows bounds the records of flows.
 	MaxFlows int
 	Rand     *rand.Rand
+	// Policy orders backend servers for new flows; nil is policy.LeastLoaded.
+	Policy policy.Policy
 	// Log gets changes of belief, Decisions a line for each flow.
 	Log       logr.Logger
 	Decisions logr.Logger
@@ -128,6 +130,9 @@
 
 // New returns a core without a table. It drops all packets until it has one.
 func New(settings Config) *Core {
+	if settings.Policy == nil {
+		settings.Policy = policy.LeastLoaded{}
+	}
 	return &Core{
 		settings: settings,
 		targets:  make(map[string]*target),
--- a/internal/tagged/place.go
+++ b/internal/tagged/place.go
@@ -116,7 +116,7 @@
 		c.offerReturning(entries, except, now)
 	}
 	flow := policy.Flow{OpenShare: c.openShare, RemoteCost: c.remoteCost(route)}
-	index, ok := policy.Choose(policy.LeastLoaded{}, c.choices, flow, c.settings.Rand)
+	index, ok := policy.Choose(c.settings.Policy, c.choices, flow, c.settings.Rand)
 	if !ok {
 		return nil
 	}
