Servers that answer checks but no flows are trusted less and less

Ruled out: asking for the server's identity in each check: it takes a request slot there. Change: an answered check of a dead server makes it suspected, and the span until it is trusted doubles from 0.4 s to 6.4 s while no flow shows life. Log lines say the view's age.

--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -40,8 +40,12 @@
 	// deadPause lies between two checks of a dead server, to find its return.
 	deadPause = 700 * time.Millisecond
 	// calmSpan is how long a server that answered a check stays suspected without a
-	// sign of life from a flow: it may be full, and sends nothing then.
+	// sign of life from a flow: it may be full, and sends nothing then. It doubles
+	// each time that flows are not answered after all: the address may be another
+	// server's by now.
 	calmSpan = 400 * time.Millisecond
+	// calmDoublings bounds that, at 6.4 s.
+	calmDoublings = 4
 )
 
 // Health is what is known of one backend server. The zero value is alive.
@@ -54,6 +58,8 @@
 	since     time.Time
 	nextCheck time.Time
 	calmAt    time.Time
+	// doubts counts answered checks since the last sign of life.
+	doubts int
 }
 
 // State returns what is believed.
@@ -75,6 +81,7 @@
 // acknowledged.
 func (h *Health) Sign(now time.Time) {
 	h.lastSign = now
+	h.doubts = 0
 	if h.state != Alive && h.state != "" {
 		h.revive()
 	}
@@ -122,12 +129,10 @@
 func (h *Health) Checked(result Result, now time.Time) bool {
 	h.checking = false
 	if result == Answered {
-		h.failures = 0
-		if h.state == Dead {
-			h.revive()
-		}
-		if h.state == Suspected {
-			h.calmAt = now.Add(calmSpan)
+		if h.State() != Alive {
+			h.state, h.failures, h.certain = Suspected, 0, false
+			h.calmAt = now.Add(calmSpan << min(h.doubts, calmDoublings))
+			h.doubts++
 		}
 		return false
 	}
--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -81,6 +81,8 @@
 	table     *state.Table
 	confirmed time.Time
 	holdUntil time.Time
+	// now is the time of the call being served, for the log.
+	now       time.Time
 	targets   map[string]*target
 	byTag     map[state.Tag]*target
 	flows     records
@@ -174,6 +176,7 @@
 func (c *Core) SetTable(table *state.Table, now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.now = now
 	c.table = table
 	before := c.targets
 	c.targets = make(map[string]*target, len(table.Entries()))
@@ -221,6 +224,7 @@
 func (c *Core) Packet(p *Packet, now time.Time) Verdict {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.now = now
 	if c.table == nil {
 		c.Counters.DroppedNoTable.Add(1)
 		return Verdict{Action: Drop}
@@ -290,11 +294,13 @@
 	if !log.Enabled() {
 		return
 	}
+	age := c.now.Sub(c.confirmed).String()
 	if t == nil {
-		log.Info(message, "Flow", key.String(), "Reason", reason, "Version", c.table.Version, "Revision", c.table.Revision)
+		log.Info(message, "Flow", key.String(), "Reason", reason,
+			"Version", c.table.Version, "Revision", c.table.Revision, "ViewAge", age)
 		return
 	}
 	log.Info(message, "Flow", key.String(), "Backend", t.entry.Name, "Reason", reason,
 		"Busy", t.busy, "PeerBusy", t.peerBusy, "Open", t.open, "Health", t.health.State(),
-		"Version", c.table.Version, "Revision", c.table.Revision)
+		"Version", c.table.Version, "Revision", c.table.Revision, "ViewAge", age)
 }
--- a/internal/tagged/sweep.go
+++ b/internal/tagged/sweep.go
@@ -30,6 +30,7 @@
 func (c *Core) Tick(now time.Time) Output {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.now = now
 	c.checks = c.checks[:0]
 	open, busy := 0, 0
 	c.flows.each(func(r *record) {
@@ -93,6 +94,7 @@
 func (c *Core) Checked(backend string, result health.Result, now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.now = now
 	t := c.targets[backend]
 	if t == nil {
 		return
@@ -103,9 +105,9 @@
 		c.settings.Log.Info("tagged: backend server is dead", "Backend", backend, "Check", result, "SinceSign", sinceSign(t, now))
 		c.resetFlows(t, "backend server is dead", t.certain())
 	}
-	if before == health.Dead && t.health.State() == health.Alive {
+	if before == health.Dead && t.health.State() != health.Dead {
 		c.Counters.Returned.Add(1)
-		c.settings.Log.Info("tagged: backend server is back", "Backend", backend)
+		c.settings.Log.Info("tagged: backend server answers again", "Backend", backend)
 	}
 }
 
