Five servers are compared instead of all, waits end with the second copy, make demo with tags

The demo of tagged flows: callers that acknowledge an answer only with their next request count as load meanwhile, and were shut out.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 
 demo: build
 	./script/demo.sh
+	./script/demo-tagged.sh
 
 test:
 	./script/test.sh $(MODULES)
--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -145,7 +145,7 @@
 	b.read(now)
 	output := b.core.Tick(now)
 	for _, reset := range output.Resets {
-		b.p.reset(b, reset.Key, "without being asked")
+		b.p.reset(b, reset, "without being asked")
 	}
 	for _, check := range output.Checks {
 		b.check(check, life)
@@ -225,7 +225,7 @@
 	verdict := b.core.Packet(&packet, time.Now())
 	switch verdict.Action {
 	case tagged.Refuse:
-		b.p.reset(b, packet.Key, "in answer to a packet")
+		b.p.reset(b, tagged.Reset{Key: packet.Key, Sequence: packet.Acknowledged}, "in answer to a packet")
 	case tagged.Forward:
 		for _, s := range b.p.Servers {
 			if s.backend.Address == verdict.To {
--- a/internal/emul/caller.go
+++ b/internal/emul/caller.go
@@ -168,7 +168,7 @@
 	}
 	f.openedAt = s
 	s.Opened++
-	f.read = 1000
+	f.read = f.p().random.Uint32()
 	f.request()
 }
 
@@ -226,13 +226,20 @@
 	f.pass(tagged.Packet{Last: true, Sequence: uint32(f.number+1) * 100}, request{})
 }
 
-// reset is a balancer's.
-func (p *Platform) reset(b *Balancer, key tagged.Key, how string) {
+// resetWindow is how far a reset's position may be from the caller's.
+const resetWindow = 76_800
+
+// reset is a balancer's. A caller takes no notice of one whose position is not about
+// its own, unless the flow has not opened.
+func (p *Platform) reset(b *Balancer, reset tagged.Reset, how string) {
 	p.toCaller(func() {
-		f := p.flows[key]
+		f := p.flows[reset.Key]
 		if f == nil || f.closed {
 			return
 		}
+		if away := int32(reset.Sequence - f.read); f.openedAt != nil && (away > resetWindow || away < -resetWindow) {
+			return
+		}
 		if s := f.openedAt; s != nil && !s.ended && p.reached(b) {
 			p.violated("%s reset a flow of %s, which lives, %s", b.name, s.backend.Name, how)
 		}
--- a/internal/policy/admit.go
+++ b/internal/policy/admit.go
@@ -8,46 +8,33 @@
 	Slots, Busy float64
 }
 
-// Admission is what happens to a first packet.
-type Admission string
-
-// The admissions.
-const (
-	// Place gives the flow a server now.
-	Place Admission = "Place"
-	// Wait drops the packet: the caller sends it again by itself, up to twice within
-	// an attempt, and the flow is placed once there is room.
-	Wait Admission = "Wait"
-	// Refuse resets the flow, so that the caller decides at once what to do.
-	Refuse Admission = "Refuse"
-)
-
 const (
-	// waitLimit is the requests in progress for each slot above which first packets
-	// wait. Servers queue four for a slot beside the one at work.
-	waitLimit = 4.0
-	// refuseLimit is the same for those that are refused. It is higher, as a refusal
-	// uses up one of the caller's few retries, and the sum counts a flow twice for a
-	// while after it has moved to another balancer.
-	refuseLimit = 5.5
-	// attemptSpan is how long a caller's attempt to open a flow lasts.
-	attemptSpan = 1400 * time.Millisecond
-	// attemptsToWait is how many attempts a caller's timeout must leave room for.
-	attemptsToWait = 2
+	// patientLimit is the requests in progress for each slot above which first
+	// packets wait, where the route's timeout leaves time for it. Servers queue four
+	// for a slot beside the one at work.
+	patientLimit = 4.0
+	// hurriedLimit is the same for other routes. It is higher, as the sum counts a
+	// flow twice for a while after it has moved to another balancer.
+	hurriedLimit = 5.5
+	// patientTimeout is two attempts of a caller to open a flow, of 1.4 s each.
+	patientTimeout = 2800 * time.Millisecond
+	// lastCopies are the copies of a first packet at which a flow is placed in any
+	// case, 600 ms after the first one. So a load that is taken for higher than it is
+	// delays callers and never shuts them out.
+	lastCopies = 2
 )
 
-// Admit decides whether a flow is placed now. The load it answers: all balancers have
-// been dark for seconds and all callers return at once, or half of the servers are
-// gone. Placed beyond what servers queue, a request is refused there and has cost a
-// place; the wait for a copy of the first packet costs the caller less, if there is
-// time for it.
-func Admit(pressure Pressure, timeout time.Duration) Admission {
-	patient := timeout >= attemptsToWait*attemptSpan
-	switch {
-	case patient && pressure.Busy >= waitLimit*pressure.Slots:
-		return Wait
-	case !patient && pressure.Busy >= refuseLimit*pressure.Slots:
-		return Refuse
+// Admit reports whether a flow is placed now. Otherwise its first packet is dropped:
+// the caller sends it again by itself within the same attempt.
+//
+// The load it answers: all balancers have been dark for seconds and all callers return
+// at once, or half of the servers are gone. Placed beyond what servers queue, a request
+// is refused there, which uses up one of its caller's few retries. A reset instead of
+// the drop was tried, and uses them up as well.
+func Admit(pressure Pressure, timeout time.Duration, copies uint32) bool {
+	limit := hurriedLimit
+	if timeout >= patientTimeout {
+		limit = patientLimit
 	}
-	return Place
+	return copies >= lastCopies || pressure.Busy < limit*pressure.Slots
 }
--- a/internal/policy/place.go
+++ b/internal/policy/place.go
@@ -39,31 +39,30 @@
 	Score(candidate Candidate, flow Flow) float64
 }
 
-// sampleSize bounds the candidates that are compared. All servers of the users'
-// services today fit; beyond that a sample is nearly as good and costs less.
-const sampleSize = 24
+// sampleSize is how many candidates are compared, from one drawn by chance onwards.
+// Balancers that compare all of them, with knowledge of the same age, choose the same
+// server; two to five serve callers alike and better (TestPoliciesUnderLoad).
+const sampleSize = 5
 
 // Choose returns the index of the candidate that a policy takes, or false if there
-// are none. Suspected candidates are taken only when all are suspected. Equal
-// scores are decided by chance, so that balancers do not all choose the same server.
+// are none. Suspected candidates are taken only when all are suspected.
 func Choose[P Policy](policy P, candidates []Candidate, flow Flow, random *rand.Rand) (int, bool) {
 	if len(candidates) == 0 {
 		return 0, false
 	}
-	start, count := 0, len(candidates)
-	if count > sampleSize {
-		start, count = random.IntN(count), sampleSize
-	}
-	best, bestScore := -1, 0.0
-	suspectedBest := true
-	for offset := range count {
+	start := random.IntN(len(candidates))
+	best, bestScore, compared := start, 0.0, 0
+	for offset := 0; offset < len(candidates) && compared < sampleSize; offset++ {
 		index := (start + offset) % len(candidates)
 		candidate := candidates[index]
+		if candidate.Suspected {
+			continue
+		}
 		score := policy.Score(candidate, flow) + jitter*random.Float64()/max(candidate.Slots, 1)
-		better := best < 0 || suspectedBest && !candidate.Suspected || suspectedBest == candidate.Suspected && score < bestScore
-		if better {
-			best, bestScore, suspectedBest = index, score, candidate.Suspected
+		if compared == 0 || score < bestScore {
+			best, bestScore = index, score
 		}
+		compared++
 	}
 	return best, true
 }
--- a/internal/tagged/place.go
+++ b/internal/tagged/place.go
@@ -46,8 +46,8 @@
 	if t == nil {
 		return c.refuseServers(p, route)
 	}
-	if admission := policy.Admit(c.pressure(), route.Timeout); admission != policy.Place {
-		return c.putOff(p, route, admission)
+	if pressure := c.pressure(); !policy.Admit(pressure, route.Timeout, p.Copy) {
+		return c.putOff(p, route, pressure)
 	}
 	c.Counters.Placed.Add(1)
 	c.logFlow("tagged: flow placed", p.Key, t, "first packet")
@@ -56,18 +56,13 @@
 }
 
 // putOff does not place a flow now, as the servers are full.
-func (c *Core) putOff(p *Packet, route *state.Route, admission policy.Admission) Verdict {
-	pressure := c.pressure()
+func (c *Core) putOff(p *Packet, route *state.Route, pressure policy.Pressure) Verdict {
+	c.Counters.DroppedBusy.Add(1)
 	if log := c.settings.Decisions; log.Enabled() {
-		log.Info("tagged: flow put off", "Flow", p.Key.String(), "Route", route.Name, "Admission", admission,
+		log.Info("tagged: flow put off", "Flow", p.Key.String(), "Route", route.Name, "Reason", "servers are full",
 			"Busy", pressure.Busy, "Slots", pressure.Slots, "Copy", p.Copy, "Revision", c.table.Revision)
 	}
-	if admission == policy.Wait {
-		c.Counters.DroppedBusy.Add(1)
-		return Verdict{Action: Drop}
-	}
-	c.Counters.RefusedBusy.Add(1)
-	return Verdict{Action: Refuse}
+	return Verdict{Action: Drop}
 }
 
 // repeated decides for a copy of a first packet.
--- /dev/null
+++ b/script/demo-tagged.sh
@@ -0,0 +1,46 @@
+#!/bin/sh
+# Runs balancers with tagged flows on loopback: store, router, callers and six backend
+# servers in one process, four balancers as processes of their own. While requests go on,
+# a backend server drains, the store is down, a balancer is paused, one leaves and starts
+# again, and one is killed.
+set -eu
+out=out/demo-tagged
+rm -rf "$out"
+mkdir -p "$out/logs"
+bin/wigeonlab prepare-tagged -directory "$out"
+pids=""
+finish() {
+	for one in $pids; do
+		kill "$one" 2>/dev/null || true
+	done
+	wait 2>/dev/null || true
+}
+trap finish EXIT
+balancer() {
+	bin/wigeond run -settings "$out/entry-$1.ini" >>"$out/logs/entry-$1.log" 2>&1 &
+	pid=$!
+	pids="$pids $pid"
+}
+bin/wigeonlab tagged -flows "${FLOWS:-200}" -span "${SPAN:-16}s" &
+lab=$!
+pids="$pids $lab"
+balancer 1
+leaver=$pid
+balancer 2
+victim=$pid
+balancer 3
+sleeper=$pid
+balancer 4
+sleep 4
+kill -STOP "$sleeper"
+echo "demo: balancer 3 is paused for two seconds"
+sleep 2
+kill -CONT "$sleeper"
+kill -TERM "$leaver"
+echo "demo: balancer 1 leaves and starts again"
+sleep 4
+balancer 1
+sleep 2
+kill -KILL "$victim"
+echo "demo: balancer 2 is killed"
+wait "$lab"
--- a/wigeonlab/main.go
+++ b/wigeonlab/main.go
@@ -41,6 +41,8 @@
 		&command{name: "fabric", synopsis: "run the fabric's stand-in", run: runFabric},
 		&command{name: "server", synopsis: "run one backend server's stand-in", run: runServer},
 		&command{name: "call", synopsis: "open flows through the fabric and compare what came back", run: call},
+		&command{name: "prepare-tagged", synopsis: "write the settings of balancers with tagged flows", run: prepareTagged},
+		&command{name: "tagged", synopsis: "run all that surrounds balancers with tagged flows, and check what callers get", run: runTagged},
 		&command{name: "instances", synopsis: "put the list of balancers on the platform's stand-in", run: publishInstances},
 		&command{name: "publish", synopsis: "put a directory's changed values on the platform's stand-in", run: publish},
 	}
