--- a/internal/policy/place.go
+++ b/internal/policy/place.go
@@ -41,8 +41,9 @@
 
 // sampleSize is how many candidates are compared, from one drawn by chance onwards.
 // Balancers that compare all of them, with knowledge of the same age, choose the same
-// server; two to five serve callers alike and better (TestPoliciesUnderLoad).
-const sampleSize = 5
+// server (TestPoliciesUnderLoad); with too few, servers of an overloaded service fill
+// unevenly.
+const sampleSize = 8
 
 // Choose returns the index of the candidate that a policy takes, or false if there
 // are none. Suspected candidates are taken only when all are suspected.
--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -99,7 +99,7 @@
 // Counters count decisions. They may be read at any time.
 type Counters struct {
 	Forwarded, Placed, PlacedAgain, Adopted      Counter
-	RefusedRoute, RefusedServers                 Counter
+	RefusedRoute, RefusedServers, RefusedBusy    Counter
 	DroppedNoTable, DroppedHeld, DroppedUnknown  Counter
 	DroppedStaleRoute, DroppedMalformed          Counter
 	DroppedUnsent, DroppedBusy                   Counter
--- a/internal/tagged/place.go
+++ b/internal/tagged/place.go
@@ -46,8 +46,9 @@
 	if t == nil {
 		return c.refuseServers(p, route)
 	}
-	if pressure := c.pressure(); !policy.Admit(pressure, route.Timeout, p.Copy) {
-		return c.putOff(p, route, pressure)
+	pressure := c.pressure()
+	if admission := policy.Admit(pressure, route.Timeout, p.Copy, c.settings.Rand.Float64()); admission != policy.Place {
+		return c.putOff(p, route, pressure, admission)
 	}
 	c.Counters.Placed.Add(1)
 	c.logFlow("tagged: flow placed", p.Key, t, "first packet")
@@ -56,12 +57,16 @@
 }
 
 // putOff does not place a flow now, as the servers are full.
-func (c *Core) putOff(p *Packet, route *state.Route, pressure policy.Pressure) Verdict {
-	c.Counters.DroppedBusy.Add(1)
+func (c *Core) putOff(p *Packet, route *state.Route, pressure policy.Pressure, admission policy.Admission) Verdict {
 	if log := c.settings.Decisions; log.Enabled() {
-		log.Info("tagged: flow put off", "Flow", p.Key.String(), "Route", route.Name, "Reason", "servers are full",
+		log.Info("tagged: flow put off", "Flow", p.Key.String(), "Route", route.Name, "Admission", admission, "Reason", "servers are full",
 			"Busy", pressure.Busy, "Slots", pressure.Slots, "Copy", p.Copy, "Revision", c.table.Revision)
 	}
+	if admission == policy.Refuse {
+		c.Counters.RefusedBusy.Add(1)
+		return Verdict{Action: Refuse}
+	}
+	c.Counters.DroppedBusy.Add(1)
 	return Verdict{Action: Drop}
 }
 
