--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 
 # bench runs the benchmarks of the packet path.
 bench:
-	go test ./internal/owned ./internal/daemon -run '^$$' -bench 'Packet|Relay|Exception|Memory' -benchmem
+	go test ./internal/owned ./internal/daemon ./internal/tagged ./internal/logs -run '^$$' -bench 'Packet|Relay|Exception|Memory|Line' -benchmem
 
 # properties runs the properties longer than make test does.
 properties:
