Load reports are bounded; the router's stand-in moves out of platform/

Cause: TestTrafficIsBounded with load on 1,000 backend servers, as at the size to design for: 127 KB/s a balancer, 17 are allowed.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -16,9 +16,11 @@
 package gossip
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -38,6 +40,9 @@
 	// membersTold bounds the heartbeats in a datagram, so that its size does not
 	// grow with the fleet.
 	membersTold = 12
+	// loadsTold bounds the loads in a datagram: 240 bytes, twenty times a second, within
+	// the budget of 17 KB/s for control.
+	loadsTold = 40
 	// seedPeriod lies between two datagrams to a seed that is not known to be alive,
 	// seedHurry while nobody is known at all.
 	seedPeriod = 2 * time.Second
@@ -211,7 +216,7 @@
 		message.ConfirmedMilliseconds = uint32(now.Sub(n.confirmed).Milliseconds()) + 1
 	}
 	n.loads = n.settings.Loads(n.loads[:0])
-	for _, load := range n.loads {
+	for _, load := range heaviest(n.loads) {
 		message.Tags = append(message.Tags, uint32(load.Tag))
 		message.Busy = append(message.Busy, uint32(max(load.Busy, 0)))
 		message.Open = append(message.Open, uint32(max(load.Open, 0)))
@@ -219,6 +224,18 @@
 	return n.marshal(&wire.Exchange{Body: &wire.Exchange_Gossip{Gossip: message}})
 }
 
+// heaviest returns the greatest loads, as many as a datagram tells. What is left out
+// counts as none: a balancer with many servers has little on each.
+func heaviest(loads []tagged.Load) []tagged.Load {
+	if len(loads) <= loadsTold {
+		return loads
+	}
+	slices.SortFunc(loads, func(a, b tagged.Load) int {
+		return cmp.Or(cmp.Compare(b.Busy, a.Busy), cmp.Compare(b.Open, a.Open))
+	})
+	return loads[:loadsTold]
+}
+
 func (n *Node) marshal(exchange *wire.Exchange) []byte {
 	data, err := proto.Marshal(exchange)
 	if err != nil {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -18,6 +18,9 @@
 
 var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 
+// serversTold is how many backend servers a node of the tests has load on.
+const serversTold = 1000
+
 // fleet is a number of nodes on a network that loses, cuts and freezes.
 type fleet struct {
 	now    time.Time
@@ -30,6 +33,8 @@
 	inFlight []delivery
 	bytes    int
 	sent     int
+	// servers is how many more backend servers each node has load on.
+	servers int
 }
 
 type node struct {
@@ -81,9 +86,19 @@
 		Log:     logr.Discard(),
 		Replica: n.replica,
 		Loads: func(list []tagged.Load) []tagged.Load {
-			return append(list, tagged.Load{Tag: 1, Busy: number})
+			list = append(list, tagged.Load{Tag: 1, Busy: number})
+			for index := range f.servers {
+				list = append(list, tagged.Load{Tag: state.Tag(1e9 + index), Open: 1})
+			}
+			return list
+		},
+		TakeLoads: func(peer string, loads []tagged.Load, _ time.Time) {
+			for _, load := range loads {
+				if load.Tag == 1 {
+					n.loads[peer] = load.Busy
+				}
+			}
 		},
-		TakeLoads: func(peer string, loads []tagged.Load, _ time.Time) { n.loads[peer] = loads[0].Busy },
 		Changed: func(string, time.Time) {
 			if c := n.replica.Configuration(); c != nil {
 				n.fell = n.fell || c.Version < n.version
@@ -267,6 +282,7 @@
 func TestTrafficIsBounded(t *testing.T) {
 	for _, size := range []int{8, 30, 90, 300} {
 		f := newFleet(size, 7)
+		f.servers = serversTold
 		f.run(4 * time.Second)
 		f.bytes, f.sent = 0, 0
 		f.run(4 * time.Second)
--- a/platform/stand/caller.go
+++ b/wigeonlab/internal/router/router.go
@@ -1,4 +1,6 @@
-package stand
+// Package router is a stand-in for the platform's routers and for callers behind them, on
+// loopback sockets.
+package router
 
 import (
 	"context"
@@ -36,8 +38,8 @@
 	data string
 }
 
-// RouterConfig sets a Router up.
-type RouterConfig struct {
+// Config sets a Router up.
+type Config struct {
 	// Caller is the callers' IP number, Port that of all balancers' traffic.
 	Caller string
 	Port   uint16
@@ -54,14 +56,16 @@
 	rotationPeriod = 500 * time.Millisecond
 	repeatPeriod   = 200 * time.Millisecond
 	requestTries   = 15
+	// maxDatagramBytes is the size of the largest packet, with room to spare.
+	maxDatagramBytes = 2048
 )
 
-// NewRouter starts a router. It ends with the context.
-func NewRouter(ctx context.Context, settings RouterConfig) (*Router, error) {
+// New starts a router. It ends with the context.
+func New(ctx context.Context, settings Config) (*Router, error) {
 	address := netip.AddrPortFrom(netip.MustParseAddr(settings.Caller), settings.Port)
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
-		return nil, fmt.Errorf("stand: callers at %s: %w", address, err)
+		return nil, fmt.Errorf("router: callers at %s: %w", address, err)
 	}
 	caller, _ := state.EndpointOf(address)
 	r := &Router{conn: conn, caller: caller, listen: settings.Listen, waiting: make(map[uint16]chan received)}
@@ -113,7 +117,7 @@
 }
 
 func (r *Router) receive() {
-	buffer := make([]byte, maxDatagram)
+	buffer := make([]byte, maxDatagramBytes)
 	for {
 		count, _, err := r.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
--- a/wigeonlab/tagged.go
+++ b/wigeonlab/tagged.go
@@ -13,6 +13,7 @@
 
 	"wigeonmoor.example/internal/state"
 	"wigeonmoor.example/platform/stand"
+	"wigeonmoor.example/wigeonlab/internal/router"
 )
 
 // The demo of tagged flows: addresses on loopback, and what takes part.
@@ -59,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	router, err := stand.NewRouter(ctx, stand.RouterConfig{
+	fabric, err := router.New(ctx, router.Config{
 		Caller: taggedCallerIP, Port: taggedTraffic, ReadyPort: taggedReady,
 		Listen:    state.NewEndpoint(0xC6120001, 443),
 		Balancers: balancerIPs(),
@@ -67,10 +68,10 @@
 	if err != nil {
 		return err
 	}
-	for router.InUse() < taggedBalancers && calling.Err() == nil {
+	for fabric.InUse() < taggedBalancers && calling.Err() == nil {
 		time.Sleep(taggedPause)
 	}
-	fmt.Printf("tagged: %d balancers are in rotation\n", router.InUse())
+	fmt.Printf("tagged: %d balancers are in rotation\n", fabric.InUse())
 	time.AfterFunc(options.span/4, func() {
 		fmt.Println("tagged: a backend server is draining, the store is down for a while")
 		store.Put(servers[0].Key(), servers[0].Entry("planning", "domain-1", "draining"))
@@ -78,7 +79,7 @@
 		store.SetDown(true)
 		time.AfterFunc(options.span/4, func() { store.SetDown(false) })
 	})
-	return callTagged(calling, router, servers, options.flows)
+	return callTagged(calling, fabric, servers, options.flows)
 }
 
 func balancerIPs() []string {
@@ -103,12 +104,12 @@
 }
 
 // callTagged keeps flows open until the context ends.
-func callTagged(ctx context.Context, router *stand.Router, servers []*stand.Server, flows int) error {
+func callTagged(ctx context.Context, fabric *router.Router, servers []*stand.Server, flows int) error {
 	var group sync.WaitGroup
 	var answers, broken atomic.Int64
 	for number := range flows {
 		group.Go(func() {
-			got, err := router.Call(ctx, uint16(2000+number), taggedPause)
+			got, err := fabric.Call(ctx, uint16(2000+number), taggedPause)
 			answers.Add(int64(got))
 			if err != nil {
 				broken.Add(1)
