--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -331,7 +331,7 @@
 func (e *Entry) send(messages []gossip.Message) {
 	for _, message := range messages {
 		if _, err := e.peer.WriteToUDPAddrPort(message.Data, message.To); err != nil && !errors.Is(err, net.ErrClosed) {
-			e.log.V(1).Info("gossip: datagram not sent", "Peer", message.To, "Problem", err.Error())
+			e.log.Info("gossip: datagram not sent", "Peer", message.To, "Problem", err.Error())
 		}
 	}
 }
@@ -349,6 +349,7 @@
 			return
 		}
 		if err != nil {
+			e.log.Info("gossip: datagram not read", "Problem", err.Error())
 			continue
 		}
 		data := append([]byte(nil), buffer[:count]...)
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -31,6 +31,7 @@
 			return
 		}
 		if err != nil {
+			e.core.Counters.DroppedUnread.Add(1)
 			continue
 		}
 		datagram := buffer[:room+count]
--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -102,7 +102,7 @@
 	RefusedRoute, RefusedServers, RefusedBusy    Counter
 	DroppedNoTable, DroppedHeld, DroppedUnknown  Counter
 	DroppedStaleRoute, DroppedMalformed          Counter
-	DroppedUnsent, DroppedBusy                   Counter
+	DroppedUnsent, DroppedUnread, DroppedBusy    Counter
 	Resets, Suspected, Died, Returned, Restarted Counter
 }
 
