Newcomers learn of backend servers that have left the list

Cause: a balancer that starts reads the published list.

Ruled out: keeping the entry of lapsed servers in the store's reading (the store does not have it); sending everything again to each newcomer (900 KB at 9,000 servers).

Change: a difference between balancers carries servers that have departed with what was published of them, and a newcomer asks the first three peers that it hears for all of them. The age of the removal goes along, so that it is forgotten everywhere at the same time. Peers' answers use the time of the call, not the wall clock.

--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -158,13 +158,7 @@
 	if p.storeDown || b.replica.Loaded() && !b.node.Reader(now) {
 		return
 	}
-	since := state.Revision(0)
-	delta := p.store.Since(0)
-	delta.Full = !b.replica.Loaded()
-	if b.replica.Loaded() {
-		since = b.replica.Revision()
-		delta = p.store.Since(since)
-	}
+	delta := p.published(b.replica)
 	life := b.life
 	p.after(watchTime, func() {
 		if b.life == life && b.works() {
@@ -173,6 +167,23 @@
 	})
 }
 
+// published returns what the store tells a replica: items, and the names of those that
+// are gone since the replica's revision.
+func (p *Platform) published(replica *state.Replica) state.Delta {
+	if !replica.Loaded() {
+		delta := p.store.Since(0)
+		delta.Full, delta.Departed = true, nil
+		return delta
+	}
+	delta := p.store.Since(replica.Revision())
+	delta.Removed = make(map[string]state.Revision)
+	for _, removal := range delta.Departed {
+		delta.Removed[removal.Backend.Name] = removal.Revision
+	}
+	delta.Departed = nil
+	return delta
+}
+
 func (b *Balancer) check(check tagged.Check, life int) {
 	result, delay := b.p.listens(b, check)
 	b.p.after(delay, func() {
--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -55,6 +55,26 @@
 	})
 }
 
+// A server whose entry has lapsed lives on and holds flows. Balancers that start after
+// that do not find it in the store and learn of it from their peers.
+func TestNewcomersKnowLapsedServers(t *testing.T) {
+	settings := emul.Timers(11)
+	settings.Classes[0].Requests = 30
+	play(t, settings, 14*time.Second, 0.995, func(p *emul.Platform, after func(time.Duration, func())) {
+		for _, s := range p.Servers[:8] {
+			after(3*time.Second, s.Lapse)
+		}
+		for index, b := range p.Balancers {
+			after(4*time.Second+time.Duration(index)*time.Second, func() { b.Restart(2 * time.Second) })
+		}
+		after(18*time.Second, func() {
+			if failed := p.Results["listen"].Failed; failed > 0 {
+				t.Errorf("%d requests on open flows failed, want none", failed)
+			}
+		})
+	})
+}
+
 func TestBackendServersAreReplaced(t *testing.T) {
 	play(t, emul.Timers(3), 20*time.Second, 0.995, func(p *emul.Platform, after func(time.Duration, func())) {
 		for index, s := range p.Servers[:6] {
--- a/internal/emul/server.go
+++ b/internal/emul/server.go
@@ -97,6 +97,9 @@
 	s.p.after(lapse, s.withdraw)
 }
 
+// Lapse has the server's entry lapse while the server lives on.
+func (s *Server) Lapse() { s.withdraw() }
+
 // Flows returns the number of open flows.
 func (s *Server) Flows() int { return len(s.flows) }
 
--- a/internal/gossip/delta.go
+++ b/internal/gossip/delta.go
@@ -6,7 +6,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -25,13 +24,16 @@
 	maxParts = 2048
 )
 
-// answer sends what has changed since a revision.
-func (n *Node) answer(revision state.Revision, to netip.AddrPort) {
+// answer sends what has changed since a revision, or all departed backend servers.
+func (n *Node) answer(want *wire.Want, to netip.AddrPort, now time.Time) {
 	if !n.settings.Replica.Loaded() {
 		return
 	}
-	delta := n.settings.Replica.Since(revision)
-	data, err := proto.Marshal(encodeDelta(delta, time.Now()))
+	delta := n.settings.Replica.Since(state.Revision(want.Revision))
+	if want.Departed {
+		delta = n.settings.Replica.Departed()
+	}
+	data, err := proto.Marshal(encodeDelta(delta, now))
 	if err != nil {
 		n.settings.Log.Error(err, "gossip: difference could not be written", "Peer", to)
 		return
@@ -40,7 +42,7 @@
 	for index, chunk := range chunks {
 		part := &wire.Part{
 			From: uint64(delta.From), To: uint64(delta.To), Full: delta.Full,
-			Index: uint32(index), Count: uint32(len(chunks)), Data: chunk,
+			Index: uint32(index), Count: uint32(len(chunks)), Data: chunk, Departed: want.Departed,
 		}
 		n.out = append(n.out, Message{To: to, Data: n.marshal(&wire.Exchange{Body: &wire.Exchange_Part{Part: part}})})
 	}
@@ -63,7 +65,7 @@
 	if part.Count == 0 || part.Count > maxParts || part.Index >= part.Count {
 		return fmt.Errorf("gossip: part %d of %d from %s: at most %d parts are taken", part.Index, part.Count, from, maxParts)
 	}
-	if state.Revision(part.To) <= n.settings.Replica.Revision() && n.settings.Replica.Loaded() {
+	if !part.Departed && state.Revision(part.To) <= n.settings.Replica.Revision() && n.settings.Replica.Loaded() {
 		return nil
 	}
 	a := &n.parts
@@ -83,6 +85,9 @@
 	if err != nil {
 		return fmt.Errorf("gossip: read difference of %s: %w", from, err)
 	}
+	if part.Departed || part.Full {
+		n.lessons++
+	}
 	if n.settings.Replica.Apply(decodeDelta(message, now), now) {
 		n.settings.Changed(from.String(), now)
 	}
@@ -94,8 +99,13 @@
 	for index := range delta.Backends {
 		message.Backends = append(message.Backends, encodeBackend(&delta.Backends[index], now))
 	}
-	for _, name := range slices.Sorted(maps.Keys(delta.Removed)) {
-		message.Withdrawn = append(message.Withdrawn, &wire.Withdrawn{Name: name, Revision: uint64(delta.Removed[name])})
+	for index := range delta.Departed {
+		removal := &delta.Departed[index]
+		message.Departed = append(message.Departed, &wire.Departed{
+			Backend:         encodeBackend(&removal.Backend, now),
+			Revision:        uint64(removal.Revision),
+			AgeMilliseconds: uint32(max(now.Sub(removal.At).Milliseconds(), 0)),
+		})
 	}
 	if delta.Configuration != nil {
 		message.Configuration = encodeConfiguration(delta.Configuration)
@@ -143,15 +153,19 @@
 }
 
 func decodeDelta(message *wire.Delta, now time.Time) state.Delta {
-	delta := state.Delta{
-		From: state.Revision(message.From), To: state.Revision(message.To), Full: message.Full,
-		Removed: make(map[string]state.Revision, len(message.Withdrawn)),
-	}
+	delta := state.Delta{From: state.Revision(message.From), To: state.Revision(message.To), Full: message.Full}
 	for _, encoded := range message.Backends {
 		delta.Backends = append(delta.Backends, decodeBackend(encoded, now))
 	}
-	for _, withdrawn := range message.Withdrawn {
-		delta.Removed[withdrawn.Name] = state.Revision(withdrawn.Revision)
+	for _, departed := range message.Departed {
+		if departed.Backend == nil {
+			continue
+		}
+		delta.Departed = append(delta.Departed, state.Removal{
+			Backend:  decodeBackend(departed.Backend, now),
+			Revision: state.Revision(departed.Revision),
+			At:       now.Add(-time.Duration(departed.AgeMilliseconds) * time.Millisecond),
+		})
 	}
 	if message.Configuration != nil {
 		delta.Configuration = decodeConfiguration(message.Configuration)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -49,6 +49,9 @@
 	seedHurry  = 100 * time.Millisecond
 	// wantPause lies between two requests for a difference.
 	wantPause = 100 * time.Millisecond
+	// lessonsWanted is how many peers tell a newcomer of departed backend servers: some
+	// of them may have just started, too.
+	lessonsWanted = 3
 	// newestMargin is how long a call to the platform may take at the most usually;
 	// what a call returned was the newest that long ago.
 	newestMargin = 100 * time.Millisecond
@@ -81,14 +84,16 @@
 
 // Node is one balancer's part in the gossip.
 type Node struct {
-	settings    Config
-	self        wire.Member
-	members     map[string]*member
-	confirmed   time.Time
-	nextRound   time.Time
-	nextSeeds   time.Time
-	nextWant    time.Time
-	parts       assembly
+	settings  Config
+	self      wire.Member
+	members   map[string]*member
+	confirmed time.Time
+	nextRound time.Time
+	nextSeeds time.Time
+	nextWant  time.Time
+	parts     assembly
+	// lessons counts the peers that have told of departed backend servers.
+	lessons     int
 	loads       []tagged.Load
 	out         []Message
 	readerKnown bool
@@ -257,7 +262,7 @@
 	case *wire.Exchange_Gossip:
 		n.takeGossip(body.Gossip, from, now)
 	case *wire.Exchange_Want:
-		n.answer(state.Revision(body.Want.Revision), from)
+		n.answer(body.Want, from, now)
 	case *wire.Exchange_Part:
 		return nil, n.takePart(body.Part, from, now)
 	default:
@@ -280,6 +285,20 @@
 	}
 	n.takeLoads(message, now)
 	n.compare(message, from, now)
+	n.learnDeparted(message, from, now)
+}
+
+// learnDeparted asks peers for the backend servers that have left the platform's list
+// and may still hold flows. Only a newcomer asks: the others have seen them leave.
+func (n *Node) learnDeparted(message *wire.Gossip, from netip.AddrPort, now time.Time) {
+	revision := n.settings.Replica.Revision()
+	current := n.settings.Replica.Loaded() && state.Revision(message.Revision) <= revision
+	if n.lessons >= lessonsWanted || !current || now.Before(n.nextWant) {
+		return
+	}
+	n.nextWant = now.Add(wantPause)
+	want := &wire.Want{Revision: uint64(revision), Departed: true}
+	n.out = append(n.out, Message{To: from, Data: n.marshal(&wire.Exchange{Body: &wire.Exchange_Want{Want: want}})})
 }
 
 // compare takes what the sender knows of the newest revision.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -358,3 +358,30 @@
 		_, _ = fleet.nodes[0].Receive(data, addressOf(1), fleet.now)
 	})
 }
+
+// A newcomer that has read everything from the platform learns from peers which backend
+// servers have left the list: flows may live on there.
+func TestNewcomerLearnsOfDepartedServers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(8, 12)
+	gone := state.Backend{
+		Name: "i-07", ID: 7, Service: "planning", Domain: "domain-1", Slots: 2, Standing: state.Serving,
+		Address: netip.MustParseAddrPort("192.0.2.7:80"), Revision: 4, Started: 1000,
+	}
+	before := whole(5, 2)
+	before.Backends = []state.Backend{gone}
+	f.read(0, before)
+	f.run(2 * time.Second)
+	f.read(1, state.Delta{From: 5, To: 6, Removed: map[string]state.Revision{"i-07": 6}})
+	f.run(2 * time.Second)
+	f.start(6)
+	f.read(6, whole(6, 2))
+	is.Equal(f.nodes[6].replica.Table().ByTag(gone.Tag()), nil)
+	f.run(time.Second)
+	entry := f.nodes[6].replica.Table().ByTag(gone.Tag())
+	is.True(entry != nil)
+	is.True(!entry.Published())
+	is.Equal(entry.ID, gone.ID)
+	is.True(f.now.Sub(entry.RemovedAt) > 2*time.Second) // it is as old as the peers say
+	is.Equal(f.problem(), "")
+}
--- a/internal/state/replica.go
+++ b/internal/state/replica.go
@@ -26,8 +26,12 @@
 	// Full deltas hold every backend server there is; those missing are removed.
 	Full     bool
 	Backends []Backend
-	// Removed holds names and the revisions of their removal.
+	// Removed holds names and the revisions of their removal, as the platform tells
+	// them.
 	Removed map[string]Revision
+	// Departed holds the same as peers tell it, with what was published last: flows
+	// may live on there, and the receiver may never have seen the backend server.
+	Departed []Removal
 	// Configuration is nil when it has not changed.
 	Configuration *Configuration
 }
@@ -83,6 +87,9 @@
 	for name, revision := range delta.Removed {
 		changed = r.remove(name, revision, now) || changed
 	}
+	for index := range delta.Departed {
+		changed = r.depart(delta.Departed[index], now) || changed
+	}
 	if c := delta.Configuration; c != nil && (r.configuration == nil || c.Version > r.configuration.Version) {
 		r.configuration = c
 		changed = true
@@ -115,6 +122,20 @@
 	return true
 }
 
+// depart takes in that a backend server has left, also one that was not known.
+func (r *Replica) depart(removal Removal, now time.Time) bool {
+	name := removal.Backend.Name
+	if _, held := r.backends[name]; held {
+		return r.remove(name, removal.Revision, now)
+	}
+	known, ok := r.removals[name]
+	if ok && known.Revision >= removal.Revision || now.Sub(removal.At) > removalLife {
+		return false
+	}
+	r.removals[name] = removal
+	return true
+}
+
 // removeMissing removes what a full delta no longer holds.
 func (r *Replica) removeMissing(delta Delta, now time.Time) bool {
 	present := make(map[string]bool, len(delta.Backends))
@@ -131,7 +152,7 @@
 }
 
 // Since returns what a peer at the given revision lacks. Where a removal may have
-// been forgotten it is everything.
+// been forgotten it is everything that is published and all removals.
 func (r *Replica) Since(revision Revision) Delta {
 	delta := Delta{From: revision, To: r.revision, Full: revision < r.horizon}
 	for _, name := range slices.Sorted(maps.Keys(r.backends)) {
@@ -143,15 +164,26 @@
 		delta.Configuration = c
 	}
 	if delta.Full {
-		return delta
+		revision = 0
 	}
-	delta.Removed = make(map[string]Revision)
-	for name, removal := range r.removals {
-		if removal.Revision > revision {
-			delta.Removed[name] = removal.Revision
+	delta.Departed = r.departedSince(revision)
+	return delta
+}
+
+// Departed returns a delta of all removals and nothing else. A newcomer that has read
+// the platform knows all else.
+func (r *Replica) Departed() Delta {
+	return Delta{From: r.revision, To: r.revision, Departed: r.departedSince(0)}
+}
+
+func (r *Replica) departedSince(revision Revision) []Removal {
+	var list []Removal
+	for _, name := range slices.Sorted(maps.Keys(r.removals)) {
+		if removal := r.removals[name]; removal.Revision > revision {
+			list = append(list, removal)
 		}
 	}
-	return delta
+	return list
 }
 
 // Forget drops removals that no flow can depend on any longer.
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -52,7 +52,7 @@
 	r.Apply(state.Delta{Full: true, To: 1, Backends: []state.Backend{backend("a", 1), backend("b", 1)}}, start)
 	r.Apply(state.Delta{From: 1, To: 2, Removed: map[string]state.Revision{"a": 2}}, start)
 	is.True(!r.Since(1).Full)
-	is.Equal(len(r.Since(1).Removed), 1)
+	is.Equal(len(r.Since(1).Departed), 1)
 	r.Forget(start.Add(time.Hour))
 	is.True(r.Since(1).Full)
 	is.True(!r.Since(2).Full)
