A soak of balancers as processes, and resets that are sent at once

A backend server is found dead between two ticks; the resets of its unopened flows waited for the next tick, up to 50 ms. Meanwhile a caller's copy of the first packet was placed on another server and the flow opened there; then the reset came.

Ruled out: a copy through another balancer (the log shows one balancer doing both).

Change: the verdict returns the resets, and they are sent before anything else.

The soak: wigeonlab soak runs wigeond processes on loopback behind proxies for the store, peers and backend servers; a seed draws kills, freezes, cuts one way or both, resets, delays, store outages, crashes with reused addresses, drains, lapses, rolls, reloads and configuration changes that overlap; the history is judged by rules that know no sockets. Peers.Advertise is new, so that peers can be reached through a proxy.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The door to this repository. Every target works on a fresh clone.
 MODULES = ./... ./wigeond/... ./wigeonctl/... ./wigeonlab/...
 
-.PHONY: build demo test check measure capacity bench properties scenarios fuzz generate
+.PHONY: build demo test check soak measure capacity bench properties scenarios fuzz generate
 
 build:
 	go build -o bin/ ./wigeond ./wigeonctl ./wigeonlab
@@ -18,6 +18,11 @@
 	go vet $(MODULES)
 	go tool staticcheck $(MODULES)
 
+# soak plays fifty seeds of faults against balancers as processes, three at a time. SEED is
+# the first one, SOAK holds more flags.
+soak: build
+	bin/wigeonlab soak -seed $(or $(SEED),1) -count 50 -jobs 3 $(SOAK)
+
 # measure prints a line an experiment; it takes some minutes.
 measure:
 	go test ./internal/owned -run 'TestMeasure' -measure -v -parallel 3 -timeout 30m | grep '^measure:'
--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -86,7 +86,7 @@
 		}
 		b.version = c.Version
 	}
-	b.core.SetTable(b.replica.Table(), now)
+	b.sendResets(b.core.SetTable(b.replica.Table(), now))
 }
 
 // Kill ends the process.
@@ -143,15 +143,17 @@
 	now := time.Now()
 	b.send(b.node.Tick(now))
 	b.read(now)
-	output := b.core.Tick(now)
-	for _, reset := range output.Resets {
-		b.p.reset(b, reset, "without being asked")
-	}
-	for _, check := range output.Checks {
+	for _, check := range b.core.Tick(now) {
 		b.check(check, life)
 	}
 }
 
+func (b *Balancer) sendResets(resets []tagged.Reset) {
+	for _, reset := range resets {
+		b.p.reset(b, reset, "without being asked")
+	}
+}
+
 // read takes what the store has, as a reader's watch would.
 func (b *Balancer) read(now time.Time) {
 	p := b.p
@@ -188,7 +190,7 @@
 	result, delay := b.p.listens(b, check)
 	b.p.after(delay, func() {
 		if b.life == life && b.works() {
-			b.core.Checked(check.Backend, result, time.Now())
+			b.sendResets(b.core.Checked(check.Backend, result, time.Now()))
 		}
 	})
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -148,7 +148,7 @@
 	e.node, err = gossip.New(gossip.Config{
 		Name:      settings.Instance.Name,
 		Domain:    settings.Instance.Domain,
-		Address:   settings.Instance.Address,
+		Address:   settings.PeerAddress(),
 		Seeds:     settings.SeedAddresses(),
 		Rand:      random,
 		Log:       config.Log,
@@ -248,7 +248,7 @@
 // changed puts the replica's new content in force.
 func (e *Entry) changed(source string, now time.Time) {
 	table := e.replica.Table()
-	e.core.SetTable(table, now)
+	e.sendResets(e.core.SetTable(table, now))
 	e.log.Info("state: view in force", "Revision", table.Revision, "Version", table.Version, "Backends", len(table.Entries()), "Source", source)
 	e.reached.Store(uint64(e.replica.Revision()))
 	e.loaded.Store(e.replica.Loaded())
@@ -292,9 +292,7 @@
 	e.reader.Store(e.node.Reader(now))
 	e.members.Store(int64(e.node.Count(now)))
 	e.reached.Store(uint64(e.replica.Revision()))
-	output := e.core.Tick(now)
-	e.sendResets(output.Resets)
-	for _, check := range output.Checks {
+	for _, check := range e.core.Tick(now) {
 		e.startCheck(ctx, check)
 	}
 	e.review(now)
@@ -324,7 +322,7 @@
 		default:
 			result = health.Silent
 		}
-		e.core.Checked(check.Backend, result, time.Now())
+		e.sendResets(e.core.Checked(check.Backend, result, time.Now()))
 	}()
 }
 
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -38,6 +38,17 @@
 	Ready netip.AddrPort
 	// Seeds are the IP numbers of other balancers.
 	Seeds []netip.Addr
+	// Advertise is where other balancers reach this one; it is invalid where that is
+	// the address it listens on.
+	Advertise netip.AddrPort
+}
+
+// PeerAddress returns where other balancers reach this one.
+func (s *Settings) PeerAddress() netip.AddrPort {
+	if s.Advertise.IsValid() {
+		return s.Advertise
+	}
+	return s.Instance.Address
 }
 
 // SeedAddresses returns where the seeds listen: all balancers have the same port for
@@ -84,7 +95,8 @@
 		{"Listen", "Peer", "", "UDP and TCP address for other balancers.", address(func(s *Settings) *netip.AddrPort { return &s.Instance.Address }), ""},
 		{"Listen", "Admin", "127.0.0.1:7790", "HTTP address of the read-only interface for operators.", address(func(s *Settings) *netip.AddrPort { return &s.Admin }), ""},
 		{"Listen", "Ready", "", "HTTP address that answers whether this balancer takes traffic; with Tagged only.", address(func(s *Settings) *netip.AddrPort { return &s.Ready }), Tagged},
-		{"Peers", "Seeds", "none", "IP numbers of some other balancers, with commas between. A port is left out of account, as all have the same; with Tagged only.", setSeeds, Tagged},
+		{"Peers", "Seeds", "none", "IP numbers of some other balancers, with commas between. A port is left out of account, as all have the same; with Tagged only.", optional(setSeeds), Tagged},
+		{"Peers", "Advertise", "none", "Address at which other balancers reach this one, where it is not Listen.Peer, as behind address translation; with Tagged only.", optional(address(func(s *Settings) *netip.AddrPort { return &s.Advertise })), Tagged},
 		{"Platform", "URL", "", "Base URL of the configuration service.", setURL, ""},
 		{"Callers", "Return", "", "UDP address of the fabric that takes packets to callers; with Owned only.", address(func(s *Settings) *netip.AddrPort { return &s.CallerReturn }), Owned},
 		{"Limits", "ControlBytesPerSecond", "4000", "Budget for control traffic that can wait, in bytes a second.", number(func(s *Settings) *int { return &s.ControlBytesPerSecond }, 500, 100_000_000), ""},
@@ -115,6 +127,16 @@
 	}
 }
 
+// optional leaves a field as it is when the value is none.
+func optional(set func(*Settings, string) error) func(*Settings, string) error {
+	return func(settings *Settings, value string) error {
+		if value == "none" {
+			return nil
+		}
+		return set(settings, value)
+	}
+}
+
 func number(field func(*Settings) *int, lowest, highest int) func(*Settings, string) error {
 	return func(settings *Settings, value string) error {
 		parsed, err := strconv.Atoi(value)
@@ -145,9 +167,6 @@
 }
 
 func setSeeds(settings *Settings, value string) error {
-	if value == "none" {
-		return nil
-	}
 	for _, text := range strings.Split(value, ",") {
 		text, _, _ = strings.Cut(strings.TrimSpace(text), ":")
 		seed, err := netip.ParseAddr(text)
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -45,6 +45,8 @@
 	expectProblems(t, valid+"[Limits]\nMaxFlows = 7\n[Leave]\nLinger = soon\n", `
 wigeond.ini:13: Limits.MaxFlows: "7": must be a whole number from 1000 to 100000000
 wigeond.ini:15: Leave.Linger: "soon": must be a time span from 0s to 1h`)
+	expectProblems(t, valid+"[Peers]\nAdvertise = entry-1:7701\n",
+		`wigeond.ini:13: Peers.Advertise: "entry-1:7701": must be an IP number and a port such as 192.0.2.1:7700`)
 	expectProblems(t, strings.Replace(valid, "Domain = lorient\n", "", 1),
 		`wigeond.ini: Instance.Domain: is missing (Failure domain of this instance.)`)
 }
@@ -76,3 +78,12 @@
 		}
 	}
 }
+
+func TestPeerAddress(t *testing.T) {
+	for advertise, expected := range map[string]string{"none": "127.0.0.1:7701", "192.0.2.9:7701": "192.0.2.9:7701"} {
+		settings, err := setup.Parse("wigeond.ini", []byte(valid+"[Peers]\nAdvertise = "+advertise+"\n"))
+		if err != nil || settings.PeerAddress().String() != expected {
+			t.Errorf("Advertise = %s: got %s, %v, expected %s", advertise, settings.PeerAddress(), err, expected)
+		}
+	}
+}
--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -172,8 +172,8 @@
 	c.settings.Log.Info("tagged: paused, first packets wait for a fresh view")
 }
 
-// SetTable puts a table in force.
-func (c *Core) SetTable(table *state.Table, now time.Time) {
+// SetTable puts a table in force, and returns the flows to reset.
+func (c *Core) SetTable(table *state.Table, now time.Time) []Reset {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.now = now
@@ -196,6 +196,7 @@
 	for _, forgotten := range before {
 		c.dropFlows(forgotten)
 	}
+	return c.takeResets()
 }
 
 // takeEntry notes what has changed of a backend server.
--- a/internal/tagged/core_test.go
+++ b/internal/tagged/core_test.go
@@ -53,6 +53,8 @@
 	now      time.Time
 	backends []state.Backend
 	removals []state.Removal
+	// resets are those that wait has not returned yet.
+	resets []tagged.Reset
 }
 
 func newBench(t *testing.T, servers int) *bench {
@@ -67,7 +69,7 @@
 
 // publish puts the backend servers in force, confirmed as the newest.
 func (b *bench) publish() {
-	b.core.SetTable(state.NewTable(1, configuration(), b.backends, b.removals), b.now)
+	b.resets = append(b.resets, b.core.SetTable(state.NewTable(1, configuration(), b.backends, b.removals), b.now)...)
 	b.core.Confirm(b.now)
 }
 
@@ -81,21 +83,20 @@
 // wait lets time pass with its ticks, and fails all checks of the given backend
 // servers.
 func (b *bench) wait(span time.Duration, result health.Result, failing ...string) []tagged.Reset {
-	var resets []tagged.Reset
 	for end := b.now.Add(span); b.now.Before(end); {
 		b.now = b.now.Add(tagged.TickPeriod)
-		output := b.core.Tick(b.now)
-		resets = append(resets, output.Resets...)
-		for _, check := range output.Checks {
+		for _, check := range b.core.Tick(b.now) {
 			outcome := health.Answered
 			for _, name := range failing {
 				if name == check.Backend {
 					outcome = result
 				}
 			}
-			b.core.Checked(check.Backend, outcome, b.now)
+			b.resets = append(b.resets, b.core.Checked(check.Backend, outcome, b.now)...)
 		}
 	}
+	resets := b.resets
+	b.resets = nil
 	return resets
 }
 
@@ -296,6 +297,28 @@
 	}
 }
 
+// The verdict itself asks for the resets. A copy of a first packet that comes later opens
+// the flow elsewhere, and nothing resets it any more.
+func TestVerdictResetsAtOnce(t *testing.T) {
+	b := newBench(t, 2)
+	f := b.open(2000, feed)
+	dead := fmt.Sprintf("i-%04x", f.last.ID)
+	b.now = b.now.Add(100 * time.Millisecond)
+	var resets []tagged.Reset
+	for range 2 {
+		for _, check := range b.core.Tick(b.now) {
+			resets = append(resets, b.core.Checked(check.Backend, health.Refused, b.now)...)
+		}
+		b.now = b.now.Add(tagged.TickPeriod)
+	}
+	b.is.Equal(resets, []tagged.Reset{{Key: f.p.Key}})
+	again := f.first(1)
+	b.is.Equal(again.Action, tagged.Forward)
+	b.is.True(fmt.Sprintf("i-%04x", again.ID) != dead)
+	f.answered()
+	b.is.Equal(len(b.wait(time.Second, health.Refused, dead)), 0)
+}
+
 func TestLiveServerIsNeverTakenForDead(t *testing.T) {
 	cases := map[string]func(b *bench, f *flow) []tagged.Reset{
 		"checks are answered": func(b *bench, f *flow) []tagged.Reset {
--- a/internal/tagged/sweep.go
+++ b/internal/tagged/sweep.go
@@ -16,18 +16,13 @@
 	Address netip.AddrPort
 }
 
-// Output is what a tick asks for.
-type Output struct {
-	Resets []Reset
-	Checks []Check
-}
-
 // shareGain is the weight of one tick in the mean share of busy flows, which settles
 // within a second.
 const shareGain = 0.05
 
-// Tick does what is due. The output is valid until the next call.
-func (c *Core) Tick(now time.Time) Output {
+// Tick does what is due, and returns the checks to start. They are valid until the next
+// call.
+func (c *Core) Tick(now time.Time) []Check {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.now = now
@@ -51,9 +46,16 @@
 		}
 	}
 	c.forgetPeers(now)
+	return c.checks
+}
+
+// takeResets returns the resets that the call being served asks for. They are to be sent
+// at once: a copy of a first packet may open the flow on another server meanwhile, and a
+// reset that comes later would break it.
+func (c *Core) takeResets() []Reset {
 	resets := c.resets
 	c.resets = nil
-	return Output{Resets: resets, Checks: c.checks}
+	return resets
 }
 
 // review looks at one flow.
@@ -90,14 +92,14 @@
 	return now.Sub(t.health.LastSign()).String()
 }
 
-// Checked takes the outcome of an active check in.
-func (c *Core) Checked(backend string, result health.Result, now time.Time) {
+// Checked takes the outcome of an active check in, and returns the flows to reset.
+func (c *Core) Checked(backend string, result health.Result, now time.Time) []Reset {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.now = now
 	t := c.targets[backend]
 	if t == nil {
-		return
+		return nil
 	}
 	before := t.health.State()
 	if t.health.Checked(result, now) {
@@ -109,6 +111,7 @@
 		c.Counters.Returned.Add(1)
 		c.settings.Log.Info("tagged: backend server answers again", "Backend", backend)
 	}
+	return c.takeResets()
 }
 
 // resettable reports whether a dead server's flow is to be reset. A request that must
--- a/wigeonlab/internal/router/router.go
+++ b/wigeonlab/internal/router/router.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,7 +19,6 @@
 type Router struct {
 	conn      *net.UDPConn
 	caller    state.Endpoint
-	listen    state.Endpoint
 	balancers []balancer
 	mutex     sync.Mutex
 	inUse     []netip.AddrPort
@@ -43,8 +41,6 @@
 	// Caller is the callers' IP number, Port that of all balancers' traffic.
 	Caller string
 	Port   uint16
-	// Listen is the route's address.
-	Listen state.Endpoint
 	// Balancers are their IP numbers, ReadyPort is where they say whether they are
 	// ready.
 	Balancers []string
@@ -54,8 +50,6 @@
 // How callers and routers behave.
 const (
 	rotationPeriod = 500 * time.Millisecond
-	repeatPeriod   = 200 * time.Millisecond
-	requestTries   = 15
 	// maxDatagramBytes is the size of the largest packet, with room to spare.
 	maxDatagramBytes = 2048
 )
@@ -68,7 +62,7 @@
 		return nil, fmt.Errorf("router: callers at %s: %w", address, err)
 	}
 	caller, _ := state.EndpointOf(address)
-	r := &Router{conn: conn, caller: caller, listen: settings.Listen, waiting: make(map[uint16]chan received)}
+	r := &Router{conn: conn, caller: caller, waiting: make(map[uint16]chan received)}
 	for _, ip := range settings.Balancers {
 		r.balancers = append(r.balancers, balancer{
 			traffic: netip.AddrPortFrom(netip.MustParseAddr(ip), settings.Port),
@@ -148,73 +142,6 @@
 		return
 	}
 	head.Source = state.NewEndpoint(r.caller.Address(), port)
-	head.Destination = r.listen
 	// What cannot be sent is lost, and the caller asks again.
 	_, _ = r.conn.WriteToUDPAddrPort(head.Append(nil, []byte(data)), inUse[int(port)%len(inUse)])
 }
-
-// Call opens a flow from a port and makes requests with pauses until the context ends.
-// It returns the number of answers. The error says how the flow broke.
-func (r *Router) Call(ctx context.Context, port uint16, pause time.Duration) (int, error) {
-	inbox := make(chan received, 8)
-	r.mutex.Lock()
-	r.waiting[port] = inbox
-	r.mutex.Unlock()
-	defer func() {
-		r.mutex.Lock()
-		delete(r.waiting, port)
-		r.mutex.Unlock()
-	}()
-	open, err := r.ask(port, platform.Head{Flags: platform.FlagFirst}, "", inbox, "")
-	if err != nil {
-		return 0, fmt.Errorf("open: %w", err)
-	}
-	head := platform.Head{Flags: platform.FlagAck, Acknowledged: open.head.Sequence + 1, Tag: open.head.Tag}
-	server := ""
-	for answers := 0; ; answers++ {
-		if ctx.Err() != nil {
-			head.Flags |= platform.FlagLast
-			r.send(port, head, "")
-			return answers, nil
-		}
-		request := fmt.Sprintf("request %d of port %d", answers, port)
-		answer, err := r.ask(port, head, request, inbox, request)
-		if err != nil {
-			return answers, fmt.Errorf("request %d: %w", answers, err)
-		}
-		name, _, _ := strings.Cut(answer.data, " ")
-		if server != "" && name != server {
-			return answers, fmt.Errorf("request %d was answered by %s, the ones before by %s", answers, name, server)
-		}
-		server = name
-		head.Sequence += uint32(len(request))
-		head.Acknowledged += uint32(len(answer.data))
-		time.Sleep(pause)
-	}
-}
-
-// ask sends a packet until its answer comes.
-func (r *Router) ask(port uint16, head platform.Head, data string, inbox <-chan received, want string) (received, error) {
-	for range requestTries {
-		r.send(port, head, data)
-		again := time.After(repeatPeriod)
-		for waiting := true; waiting; {
-			select {
-			case got := <-inbox:
-				if got.head.Flags&platform.FlagAbort != 0 {
-					return received{}, fmt.Errorf("reset by %s", got.head.Source)
-				}
-				if strings.HasSuffix(got.data, want) && (want != "" || got.head.Flags&platform.FlagFirst != 0) {
-					return got, nil
-				}
-			case <-again:
-				waiting = false
-			}
-		}
-		if head.Flags&platform.FlagFirst != 0 {
-			// A first packet counts its copies.
-			head.Acknowledged++
-		}
-	}
-	return received{}, fmt.Errorf("no answer to %d packets", requestTries)
-}
--- /dev/null
+++ b/wigeonlab/internal/soak/soak.go
@@ -0,0 +1,163 @@
+// Package soak runs balancers as processes on one machine, harms them from outside, and
+// checks what callers and backend servers see.
+//
+// A seed draws a plan of faults and of an operator's work. Callers keep flows open
+// meanwhile. At the end the whole history is judged at once, by rules that know no
+// sockets: judging while the run goes on was rejected, as a rule may need what comes
+// later. The system keeps nothing on disk and decides nothing by the time of day, so that
+// neither is harmed.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Config sets a run up.
+type Config struct {
+	Seed uint64
+	// Slot is the second number of all IP numbers of the run, so that several can go
+	// on at a time.
+	Slot int
+	// Program is the balancer's executable, Directory gets settings and logs.
+	Program   string
+	Directory string
+	Balancers int
+	Callers   int
+	// Span is the time in which faults begin.
+	Span time.Duration
+}
+
+const (
+	// readySpan bounds the start of the fleet.
+	readySpan = 20 * time.Second
+	readyLook = 100 * time.Millisecond
+	// tailSpan follows the last fault: calm, and then some requests.
+	tailSpan = calmSpan + 3*time.Second
+)
+
+// Report is the outcome of a run.
+type Report struct {
+	Plan       []Step
+	Violations []Violation
+	// Started is when the faults began, Answers what callers got.
+	Started time.Time
+	Answers int
+	Failed  int
+}
+
+// Run plays one seed. The error says why it could not be played.
+func Run(ctx context.Context, config Config) (Report, error) {
+	if err := os.MkdirAll(config.Directory, 0o755); err != nil {
+		return Report{}, fmt.Errorf("soak: %w", err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w, err := build(ctx, config)
+	if err != nil {
+		return Report{}, err
+	}
+	defer w.stop()
+	for _, b := range w.balancers {
+		if err := b.start(); err != nil {
+			return Report{}, err
+		}
+	}
+	if !w.awaitReady(ctx) {
+		return Report{}, fmt.Errorf("soak: %d of %d balancers are ready after %s", w.fabric.InUse(), config.Balancers, readySpan)
+	}
+	report := Report{Plan: Plan(config.Seed, config.Span)}
+	calling, hangUp := context.WithCancel(ctx)
+	defer hangUp()
+	var callers sync.WaitGroup
+	for number := range config.Callers {
+		callers.Go(func() { w.call(calling, rand.New(rand.NewPCG(config.Seed, uint64(2+number)))) })
+	}
+	pause(ctx, calmSpan)
+	report.Started = time.Now()
+	if err := w.play(ctx, report.Plan); err != nil {
+		return report, err
+	}
+	pause(ctx, tailSpan)
+	hangUp()
+	callers.Wait()
+	w.stop()
+	return report, w.conclude(&report)
+}
+
+// play carries all steps out and returns when the last one is over.
+func (w *world) play(ctx context.Context, plan []Step) error {
+	var steps sync.WaitGroup
+	problems := make(chan error, len(plan))
+	began := time.Now()
+	for _, step := range plan {
+		pause(ctx, time.Until(began.Add(step.At)))
+		steps.Go(func() {
+			if err := w.perform(ctx, step); err != nil {
+				problems <- fmt.Errorf("%s: %w", step, err)
+			}
+		})
+	}
+	steps.Wait()
+	close(problems)
+	return <-problems
+}
+
+// awaitReady waits until all balancers are in rotation.
+func (w *world) awaitReady(ctx context.Context) bool {
+	for end := time.Now().Add(readySpan); time.Now().Before(end) && ctx.Err() == nil; pause(ctx, readyLook) {
+		if w.fabric.InUse() == len(w.balancers) {
+			return true
+		}
+	}
+	return false
+}
+
+// stop ends all processes.
+func (w *world) stop() {
+	var ends sync.WaitGroup
+	for _, b := range w.balancers {
+		ends.Go(func() {
+			b.signal(syscall.SIGCONT)
+			b.signal(syscall.SIGTERM)
+			// A second one ends a leaving balancer at once.
+			b.end(syscall.SIGTERM)
+		})
+	}
+	ends.Wait()
+}
+
+// conclude judges the run.
+func (w *world) conclude(report *Report) error {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	h := &w.history
+	h.Routes = w.routes
+	for index, s := range w.servers {
+		if h.Lives[index].Ended.IsZero() {
+			h.Lives[index].Strangers = s.Strangers.Load()
+		}
+	}
+	for _, b := range w.balancers {
+		lines, err := b.reverted()
+		if err != nil {
+			return err
+		}
+		h.Reverted = append(h.Reverted, lines...)
+	}
+	report.Violations = Judge(h)
+	for _, c := range h.Calls {
+		switch {
+		case c.Err != nil:
+			report.Failed++
+		case !c.Opening:
+			report.Answers++
+		}
+	}
+	return nil
+}
--- a/wigeonlab/main.go
+++ b/wigeonlab/main.go
@@ -27,6 +27,7 @@
 	for _, command := range commands() {
 		subcommands.Register(command, "")
 	}
+	subcommands.Register(&soakCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	status := subcommands.Execute(ctx)
--- a/wigeonlab/tagged.go
+++ b/wigeonlab/tagged.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
@@ -27,6 +28,9 @@
 	taggedPause     = 100 * time.Millisecond
 )
 
+// taggedListen is the route's address, 198.18.0.1:443.
+var taggedListen = state.NewEndpoint(0xC6120001, 443)
+
 func taggedBalancerIP(number int) string { return fmt.Sprintf("127.20.1.%d", number) }
 
 // prepareTagged writes the settings of the balancers.
@@ -62,7 +66,6 @@
 	}
 	fabric, err := router.New(ctx, router.Config{
 		Caller: taggedCallerIP, Port: taggedTraffic, ReadyPort: taggedReady,
-		Listen:    state.NewEndpoint(0xC6120001, 443),
 		Balancers: balancerIPs(),
 	})
 	if err != nil {
@@ -93,7 +96,10 @@
 func startServers(store *stand.Store) ([]*stand.Server, error) {
 	var servers []*stand.Server
 	for number := 1; number <= taggedServers; number++ {
-		s, err := stand.NewServer(fmt.Sprintf("i-%04x", number), state.BackendID(number), fmt.Sprintf("127.20.3.%d", number), taggedTraffic)
+		s, err := stand.NewServer(stand.ServerConfig{
+			ID: fmt.Sprintf("i-%04x", number), Number: state.BackendID(number), Callers: taggedTraffic,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 20, 3, byte(number)}), 0),
+		})
 		if err != nil {
 			return nil, err
 		}
@@ -109,7 +115,7 @@
 	var answers, broken atomic.Int64
 	for number := range flows {
 		group.Go(func() {
-			got, err := fabric.Call(ctx, uint16(2000+number), taggedPause)
+			got, err := fabric.Call(ctx, uint16(2000+number), taggedListen, taggedPause)
 			answers.Add(int64(got))
 			if err != nil {
 				broken.Add(1)
