wigeonctl trace tells a flow's story from balancers' logs

Change: trace reads logs of any number of instances, prints the flow's lines with those that explain them, in order, and says what the last decision was and where to look.

--- a/wigeonctl/main.go
+++ b/wigeonctl/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -16,7 +17,7 @@
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
-	for _, command := range append(fileCommands(), fleetCommands()...) {
+	for _, command := range slices.Concat(fileCommands(), fleetCommands(), logCommands()) {
 		subcommands.Register(command, "")
 	}
 	flag.Parse()
