--- a/wigeonctl/internal/trace/trace.go
+++ b/wigeonctl/internal/trace/trace.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	// beforeSpan is how long before the flow's first line, and after its last one,
-	// other lines may explain it: a dead server is found within a second, and an
-	// instance that starts takes flows within two.
-	beforeSpan = 3 * time.Second
+	// nearSpan is how far from a flow's line another one may be that explains it: a dead
+	// server is found within a second, and an instance that starts takes flows within
+	// two. Lines of the flow's backend servers may be anywhere between.
+	nearSpan = 3 * time.Second
 	// maxLineBytes bounds a line.
 	maxLineBytes = 1 << 20
 )
@@ -151,18 +151,22 @@
 		}
 		line.Own = true
 		story = append(story, line)
-		backends[line.Get("Backend")], instances[line.Instance] = true, true
+		instances[line.Instance] = true
+		if backend := line.Get("Backend"); backend != "" {
+			backends[backend] = true
+		}
 	}
 	if len(story) == 0 {
 		return nil
 	}
 	slices.SortStableFunc(story, func(a, b Line) int { return a.At.Compare(b.At) })
-	first, last := story[0].At.Add(-beforeSpan), story[len(story)-1].At.Add(beforeSpan)
+	own := story
+	first, last := own[0].At.Add(-nearSpan), own[len(own)-1].At.Add(nearSpan)
 	for _, line := range l.lines {
 		if line.At.Before(first) || line.At.After(last) || line.Get("Flow") != "" {
 			continue
 		}
-		if backend := line.Get("Backend"); backend != "" && backends[backend] || explains(&line) && instances[line.Instance] {
+		if backends[line.Get("Backend")] || explains(&line) && instances[line.Instance] && near(own, line.At) {
 			story = append(story, line)
 		}
 	}
@@ -170,6 +174,11 @@
 	return story
 }
 
+// near reports whether a time is near one of the flow's lines.
+func near(own []Line, at time.Time) bool {
+	return slices.ContainsFunc(own, func(line Line) bool { return line.At.Sub(at).Abs() <= nearSpan })
+}
+
 // explaining are the beginnings of messages that say what happened to a balancer.
 var explaining = []string{"entry: ", "state: ", "source: ", "tagged: paused", "tagged: failure domain", "logs: "}
 
