A request counts as load for three mean answers of its route, not for a second

A request whose next packet goes through another balancer, or whose answer fits one packet and is acknowledged with the next request, counted for a second.

Change: each route's mean time from request to answer is learned, and three of them bound the count, 400 ms at the most.

--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -20,6 +20,9 @@
 	misses = 2
 	// startTime is from a process's start to its first packet.
 	startTime = 60 * time.Millisecond
+	// staleSpan is how old the view is when a balancer that does not read asks the
+	// store itself.
+	staleSpan = 2900 * time.Millisecond
 	// watchTime is how late a reader hears of a change.
 	watchTime = 8 * time.Millisecond
 	// checkTime is how long a check waits for an answer.
@@ -42,6 +45,8 @@
 	inRotation bool
 	missed     int
 	version    state.Version
+	// refused balancers get no answer from the store, while others do.
+	refused bool
 	// disturbed is when the balancer was last started, killed or frozen.
 	disturbed time.Time
 }
@@ -107,6 +112,12 @@
 	})
 }
 
+// Refuse has the store refuse the balancer for a while.
+func (b *Balancer) Refuse(span time.Duration) {
+	b.refused = true
+	b.p.after(span, func() { b.refused = false })
+}
+
 // Restart ends the process gracefully and starts it again.
 func (b *Balancer) Restart(linger time.Duration) {
 	b.leaving = true
@@ -157,13 +168,18 @@
 // read takes what the store has, as a reader's watch would.
 func (b *Balancer) read(now time.Time) {
 	p := b.p
-	if p.storeDown || b.replica.Loaded() && !b.node.Reader(now) {
+	if b.replica.Loaded() && !b.node.Reader(now) && now.Sub(b.node.Confirmed()) < staleSpan {
+		return
+	}
+	if p.storeDown || b.refused {
+		b.send(b.node.SetBlind(true, now))
 		return
 	}
 	delta := p.published(b.replica)
 	life := b.life
 	p.after(watchTime, func() {
 		if b.life == life && b.works() {
+			b.send(b.node.SetBlind(false, time.Now()))
 			b.send(b.node.TakeReading(delta, time.Now()))
 		}
 	})
--- a/internal/emul/caller.go
+++ b/internal/emul/caller.go
@@ -195,7 +195,9 @@
 	}
 	f.got = number
 	f.read += 600
-	f.pass(tagged.Packet{Sequence: uint32(number+1) * 100}, request{})
+	if f.p().random.Float64() >= f.class.SmallShare {
+		f.pass(tagged.Packet{Sequence: uint32(number+1) * 100}, request{})
+	}
 	if served {
 		if f.caller.flow == f && !f.caller.done {
 			f.caller.finish(true)
--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -57,6 +57,9 @@
 	Idempotent          bool
 	// Requests is the number on each flow; more than one makes long flows.
 	Requests int
+	// SmallShare is the share of answers that fit one packet. Callers acknowledge those
+	// with their next request.
+	SmallShare float64
 }
 
 // Timers is the deployment of the timers' operator at its usual load.
@@ -69,7 +72,7 @@
 			{Name: "journal", Servers: 1, Slots: 2, Queue: 8},
 		},
 		Classes: []Class{
-			{Name: "listen", Service: "planning", PerSecond: 292, Work: 30 * time.Millisecond, Objective: 150 * time.Millisecond, Deadline: 1500 * time.Millisecond, Idempotent: true, Requests: 10},
+			{Name: "listen", Service: "planning", PerSecond: 292, Work: 30 * time.Millisecond, Objective: 150 * time.Millisecond, Deadline: 1500 * time.Millisecond, Idempotent: true, Requests: 10, SmallShare: 0.1},
 			{Name: "change", Service: "planning", PerSecond: 83, Work: 39 * time.Millisecond, Objective: 200 * time.Millisecond, Deadline: 2 * time.Second, Requests: 1},
 			{Name: "logbook", Service: "journal", PerSecond: 25, Work: 5 * time.Millisecond, Objective: 500 * time.Millisecond, Deadline: 5 * time.Second, Requests: 1},
 		},
--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -131,6 +131,24 @@
 	})
 }
 
+// The store refuses one third of the balancers after the other, and at last all but one,
+// while routes and servers change. Peers feed those that are refused.
+func TestStoreRefusesSome(t *testing.T) {
+	play(t, emul.Timers(12), 30*time.Second, 0.995, func(p *emul.Platform, after func(time.Duration, func())) {
+		for round, refused := range []int{3, 3, 3, 7} {
+			at := time.Duration(2+6*round) * time.Second
+			for offset := range refused {
+				after(at, func() { p.Balancers[(3*round+offset)%len(p.Balancers)].Refuse(6 * time.Second) })
+			}
+			after(at+time.Second, func() {
+				p.Configure(nil)
+				p.AddServer("planning", "domain-2")
+				p.Servers[round].Drain(4 * time.Second)
+			})
+		}
+	})
+}
+
 func TestLossyLinks(t *testing.T) {
 	settings := emul.Timers(9)
 	settings.Loss = 0.025
@@ -205,7 +223,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		seed := rapid.Uint64().Draw(r, "seed")
 		loss := rapid.SampledFrom([]float64{0, 0, 0.02}).Draw(r, "loss")
-		steps := rapid.SliceOfN(rapid.SampledFrom([]string{"kill", "restart", "freeze", "crash", "dark", "drain", "add", "cut", "heal", "down", "up", "drop", "configure"}), 1, 8).Draw(r, "steps")
+		steps := rapid.SliceOfN(rapid.SampledFrom([]string{"kill", "restart", "freeze", "crash", "dark", "drain", "add", "cut", "heal", "down", "up", "drop", "configure", "refuse"}), 1, 8).Draw(r, "steps")
 		gaps := rapid.SliceOfN(rapid.IntRange(0, 2500), len(steps), len(steps)).Draw(r, "gaps")
 		target := rapid.IntRange(0, 7).Draw(r, "target")
 		violations := day{seed: seed, loss: loss, steps: steps, gaps: gaps, target: target}.play(t)
@@ -238,6 +256,11 @@
 		p.Heal()
 	case "down", "up":
 		p.SetStore(step == "down")
+	case "refuse":
+		// A third of the balancers, readers among them or not.
+		for offset := range 3 {
+			p.Balancers[(target+offset)%len(p.Balancers)].Refuse(6 * time.Second)
+		}
 	case "drop":
 		p.Configure(map[string]bool{"change": true})
 	case "configure":
--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -49,10 +49,6 @@
 	// coldFactor is how much slower a server is after its start, as on the users'
 	// sites.
 	coldFactor = 1.6
-	// busyLimit is the time after which an unanswered request no longer counts as
-	// load: its packets may go through another balancer by now. The longest work
-	// (430 ms) behind a full queue takes less.
-	busyLimit = time.Second
 )
 
 // Config sets a Core up.
@@ -128,6 +124,18 @@
 type class struct {
 	// bytes is the mean size of what callers send on a flow.
 	bytes float64
+	// answer is the mean time from a request to the first sign of its answer, 0 while
+	// none has been seen.
+	answer time.Duration
+}
+
+func (c *Core) classOf(listen state.Endpoint) *class {
+	known := c.classes[listen]
+	if known == nil {
+		known = &class{}
+		c.classes[listen] = known
+	}
+	return known
 }
 
 // New returns a core without a table. It drops all packets until it has one.
--- a/internal/tagged/core_test.go
+++ b/internal/tagged/core_test.go
@@ -399,6 +399,32 @@
 	}
 }
 
+// An answer of one packet is acknowledged with the next request. Until then its request
+// counts as load for a few of the route's mean answers, not for good.
+func TestUnacknowledgedAnswersAreNoLoad(t *testing.T) {
+	b := newBench(t, 1)
+	busy := func() int { return b.core.Backends()[0].Busy }
+	f := b.open(2000, feed)
+	f.answered()
+	for range 50 {
+		f.packet(100)
+		b.now = b.now.Add(40 * time.Millisecond)
+		f.progress()
+	}
+	f.packet(100)
+	b.wait(100*time.Millisecond, health.Answered)
+	b.is.Equal(busy(), 1)
+	b.wait(100*time.Millisecond, health.Answered)
+	b.is.Equal(busy(), 0) // three means of 40 ms have passed
+	g := b.open(2001, orders)
+	g.answered()
+	g.packet(100)
+	b.wait(300*time.Millisecond, health.Answered)
+	b.is.Equal(busy(), 1) // nothing is known of this route's answers
+	b.wait(200*time.Millisecond, health.Answered)
+	b.is.Equal(busy(), 0)
+}
+
 func BenchmarkKnownPacket(b *testing.B) {
 	core := tagged.New(tagged.Config{Domain: "lorient", MaxFlows: 400_000, Rand: rand.New(rand.NewPCG(1, 2)), Log: logr.Discard(), Decisions: logr.Discard()})
 	var backends []state.Backend
--- a/internal/tagged/record.go
+++ b/internal/tagged/record.go
@@ -173,6 +173,9 @@
 	if ahead(p.Acknowledged, r.acknowledged) {
 		r.acknowledged = p.Acknowledged
 		r.struck = false
+		if r.busy {
+			c.classOf(r.key.Listen).learnAnswer(now.Sub(r.sent))
+		}
 		c.setBusy(r, false)
 		c.sign(t, now)
 	}
@@ -235,14 +238,39 @@
 
 // learnBytes keeps the mean size of what callers send on a route's flows.
 func (c *Core) learnBytes(r *record) {
-	known := c.classes[r.key.Listen]
-	if known == nil {
-		known = &class{bytes: float64(r.bytes)}
-		c.classes[r.key.Listen] = known
-		return
+	known := c.classOf(r.key.Listen)
+	if known.bytes == 0 {
+		known.bytes = float64(r.bytes)
+	}
+	known.bytes += (float64(r.bytes) - known.bytes) * learnGain
+}
+
+// learnGain is the weight of the newest flow in a route's means.
+const learnGain = 0.05
+
+func (c *class) learnAnswer(span time.Duration) {
+	if c.answer == 0 {
+		c.answer = span
 	}
-	known.bytes += (float64(r.bytes) - known.bytes) * bytesGain
+	c.answer += time.Duration(float64(span-c.answer) * learnGain)
 }
 
-// bytesGain is the weight of the newest flow in a route's mean size.
-const bytesGain = 0.05
+const (
+	// busyMeans is how many times the mean answer a request counts as load. Without a
+	// sign of its answer it may have gone on through another balancer, or the answer is
+	// one packet, which callers acknowledge with their next request.
+	busyMeans = 3
+	// busyLeast and busyMost bound that: a tick lies between two looks at a flow, and
+	// the longest work of the users' requests takes 430 ms. A route whose answers have
+	// not been seen yet has the greater bound.
+	busyLeast = 2 * TickPeriod
+	busyMost  = 400 * time.Millisecond
+)
+
+// busyLimit is how long a request without a sign of its answer counts as load.
+func (c *class) busyLimit() time.Duration {
+	if c == nil || c.answer == 0 {
+		return busyMost
+	}
+	return min(max(busyMeans*c.answer, busyLeast), busyMost)
+}
--- a/internal/tagged/sweep.go
+++ b/internal/tagged/sweep.go
@@ -69,7 +69,7 @@
 		r.struck = true
 		c.strike(r.target, r.sent, now, "first packet was not answered")
 	}
-	if r.busy && r.opened && now.Sub(r.sent) > busyLimit {
+	if r.busy && r.opened && now.Sub(r.sent) > c.classes[r.key.Listen].busyLimit() {
 		c.setBusy(r, false)
 	}
 }
