--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,9 +80,9 @@
 	peer    *net.UDPConn
 	queue   chan func()
 	started time.Time
-	// patience is this balancer's part of staleSpread, from 0 to 1.
-	patience float64
-	clock    pauseClock
+	// staleShare is this balancer's part of staleSpread, from 0 to 1.
+	staleShare float64
+	clock      pauseClock
 	// changedBy is who told of a change that is not in force yet, and nextChange when it
 	// may be.
 	changedBy  string
@@ -138,13 +138,13 @@
 	}
 	meters := newMeters()
 	e := &Entry{
-		config:   config,
-		meters:   meters,
-		log:      config.Log,
-		replica:  state.NewReplica(),
-		queue:    make(chan func(), controlQueue),
-		started:  time.Now(),
-		patience: random.Float64(),
+		config:     config,
+		meters:     meters,
+		log:        config.Log,
+		replica:    state.NewReplica(),
+		queue:      make(chan func(), controlQueue),
+		started:    time.Now(),
+		staleShare: random.Float64(),
 		core: tagged.New(tagged.Config{
 			Domain:    settings.Instance.Domain,
 			MaxFlows:  settings.MaxFlows,
@@ -247,7 +247,7 @@
 // staleAfter returns the age of the view at which this balancer asks the platform itself.
 func (e *Entry) staleAfter() time.Duration {
 	spread := staleSpread + time.Duration(e.members.Load())*staleSpreadEach
-	return staleSpan + time.Duration(e.patience*float64(spread))
+	return staleSpan + time.Duration(e.staleShare*float64(spread))
 }
 
 // age returns how long ago the view was last known to be the newest.
--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -20,11 +20,11 @@
 // full returns a node that knows a fleet, and a datagram of each of its members.
 func full(b *testing.B, size int) (*gossip.Node, [][]byte, time.Time) {
 	now := start
-	make1 := func(number int) *gossip.Node {
+	makeNode := func(number int) *gossip.Node {
 		n, err := gossip.New(gossip.Config{
 			Name: fmt.Sprintf("entry-%d", number), Domain: fmt.Sprintf("domain-%d", number%9), Address: addressOf(number),
 			Rand: rand.New(rand.NewPCG(uint64(number), 1)), Log: logr.Discard(), Replica: state.NewReplica(),
-			Seeds: nil, Changed: func(string, time.Time) {}, Confirmed: func(time.Time) {},
+			Changed: func(string, time.Time) {}, Confirmed: func(time.Time) {},
 			Loads: func(list []tagged.Load) []tagged.Load {
 				for tag := range 40 {
 					list = append(list, tagged.Load{Tag: state.Tag(tag + 1), Busy: 2, Open: 9})
@@ -38,10 +38,10 @@
 		}
 		return n
 	}
-	node := make1(0)
+	node := makeNode(0)
 	var datagrams [][]byte
 	for number := 1; number < size; number++ {
-		peer := make1(number)
+		peer := makeNode(number)
 		// A node that hears nobody tells its seed alone.
 		peer.SetSeeds([]netip.AddrPort{addressOf(0)})
 		for _, message := range peer.Tick(now) {
--- a/internal/gossip/delta.go
+++ b/internal/gossip/delta.go
@@ -86,7 +86,7 @@
 		return fmt.Errorf("gossip: read difference of %s: %w", from, err)
 	}
 	if part.Departed || part.Full {
-		n.lessons++
+		n.departedAnswers++
 	}
 	if n.settings.Replica.Apply(decodeDelta(message, now), now) {
 		n.settings.Changed(from.String(), now)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -55,9 +55,9 @@
 	helpBeats     = 50
 	helpPause     = 100 * time.Millisecond
 	membersHelped = 24
-	// lessonsWanted is how many peers tell a newcomer of departed backend servers: some
+	// departedSources is how many peers tell a newcomer of departed backend servers: some
 	// of them may have just started, too.
-	lessonsWanted = 3
+	departedSources = 3
 	// newestMargin is how long a call to the platform may take at the most usually;
 	// what a call returned was the newest that long ago.
 	newestMargin = 100 * time.Millisecond
@@ -99,12 +99,12 @@
 	nextWant  time.Time
 	nextHelp  time.Time
 	parts     assembly
-	// lessons counts the peers that have told of departed backend servers.
-	lessons     int
-	loads       []tagged.Load
-	out         []Message
-	readerKnown bool
-	wasReader   bool
+	// departedAnswers counts the peers that have told of departed backend servers.
+	departedAnswers int
+	loads           []tagged.Load
+	out             []Message
+	readerKnown     bool
+	wasReader       bool
 }
 
 // New returns a node that knows nobody.
@@ -316,14 +316,12 @@
 // learnDeparted asks peers for the backend servers that have left the platform's list
 // and may still hold flows. Only a newcomer asks: the others have seen them leave.
 func (n *Node) learnDeparted(message *wire.Gossip, from netip.AddrPort, now time.Time) {
-	revision := n.settings.Replica.Revision()
-	current := n.settings.Replica.Loaded() && state.Revision(message.Revision) <= revision
-	if n.lessons >= lessonsWanted || !current || now.Before(n.nextWant) {
+	current := n.settings.Replica.Loaded() && state.Revision(message.Revision) <= n.settings.Replica.Revision()
+	if n.departedAnswers >= departedSources || !current || now.Before(n.nextWant) {
 		return
 	}
 	n.nextWant = now.Add(wantPause)
-	want := &wire.Want{Revision: uint64(revision), Departed: true}
-	n.out = append(n.out, Message{To: from, Data: n.marshal(&wire.Exchange{Body: &wire.Exchange_Want{Want: want}})})
+	n.want(from, true)
 }
 
 // compare takes what the sender knows of the newest revision.
@@ -332,7 +330,7 @@
 	theirs := state.Revision(message.Revision)
 	if theirs > revision && !now.Before(n.nextWant) {
 		n.nextWant = now.Add(wantPause)
-		n.want(from)
+		n.want(from, false)
 		return
 	}
 	if theirs == revision && n.settings.Replica.Loaded() && message.ConfirmedMilliseconds > 0 {
@@ -340,8 +338,9 @@
 	}
 }
 
-func (n *Node) want(from netip.AddrPort) {
-	want := &wire.Want{}
+// want asks a peer for what has changed, or for all departed backend servers.
+func (n *Node) want(from netip.AddrPort, departed bool) {
+	want := &wire.Want{Departed: departed}
 	if n.settings.Replica.Loaded() {
 		want.Revision = uint64(n.settings.Replica.Revision())
 	}
--- a/internal/gossip/member.go
+++ b/internal/gossip/member.go
@@ -54,8 +54,8 @@
 	// live has the live members in no order, queue all members in the order in which
 	// they are told, and fresh the newcomers among them.
 	live, queue, fresh []*member
-	// first and second are the readers, nil for this balancer itself or nobody; they are
-	// chosen anew when stale is set.
+	// first and second are the readers, nil for nobody; they are chosen anew when stale
+	// is set.
 	stale         bool
 	first, second *wire.Member
 	// firstSince and secondSince are when they were chosen.
