The soak's judge counts four seconds of calm once

Cause: a call's bounds were judged only after eight seconds without unplanned trouble, since both the rule and the look at what went on took four off. Red first: a call five seconds after the last trouble was not judged.

--- a/wigeonlab/internal/soak/judge.go
+++ b/wigeonlab/internal/soak/judge.go
@@ -169,7 +169,7 @@
 	}
 	added := c.Began.Sub(route.Added) > routeBound
 	if c.Opening {
-		if added && j.calm(c.Began.Add(-calmSpan), c.Ended, "") {
+		if added && j.calm(c.Began, c.Ended, "") {
 			j.add(c.Ended, "open", "no flow to %s: %v", c.Listen, c.Err)
 		}
 		return
@@ -178,7 +178,7 @@
 	if life == nil {
 		// The flow's server is not known, as it never answered. It is judged by
 		// whether all was calm.
-		if j.calm(c.Began.Add(-calmSpan), c.Ended, "") {
+		if j.calm(c.Began, c.Ended, "") {
 			j.add(c.Ended, "flow", "%q: %v", c.Request, c.Err)
 		}
 		return
@@ -186,7 +186,7 @@
 	lives := life.Ended.IsZero() || life.Ended.After(c.Ended)
 	if errors.Is(c.Err, router.ErrResetByBalancer) && lives && j.unharmed(c) {
 		j.add(c.Ended, "flow", "%q: reset while %s lives", c.Request, c.Server)
-	} else if lives && j.calm(c.Began.Add(-calmSpan), c.Ended, c.Server) {
+	} else if lives && j.calm(c.Began, c.Ended, c.Server) {
 		j.add(c.Ended, "flow", "%q of %s: %v", c.Request, c.Server, c.Err)
 	}
 }
--- a/wigeonlab/internal/soak/soak_test.go
+++ b/wigeonlab/internal/soak/soak_test.go
@@ -80,6 +80,10 @@
 			h.Calls = []soak.Call{call("i-1", router.ErrNoAnswer)}
 			h.Spans = []soak.Span{harm("")}
 		}, ""},
+		{"no answer, trouble over for more than four seconds", func(h *soak.History) {
+			h.Calls = []soak.Call{call("i-1", router.ErrNoAnswer)}
+			h.Spans = []soak.Span{{From: at(23), To: at(24.9)}}
+		}, "flow"},
 		{"no answer, another server in trouble", func(h *soak.History) {
 			h.Calls = []soak.Call{call("i-1", router.ErrNoAnswer)}
 			h.Spans = []soak.Span{harm("i-2")}
