--- a/wigeonlab/main.go
+++ b/wigeonlab/main.go
@@ -28,6 +28,7 @@
 		subcommands.Register(command, "")
 	}
 	subcommands.Register(&soakCommand{}, "")
+	subcommands.Register(&causesCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	status := subcommands.Execute(ctx)
