--- a/wigeonlab/internal/soak/soak_test.go
+++ b/wigeonlab/internal/soak/soak_test.go
@@ -153,21 +153,25 @@
 	return seeds
 }
 
-// TestSoak plays a short run, and all seeds that have ever failed.
+// TestSoak plays two short runs, one with planned work only, and all seeds that have ever
+// failed.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "wigeond")
 	if out, err := exec.Command("go", "build", "-o", program, "wigeonmoor.example/wigeond").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	const usual = 15 * time.Second
-	play(t, program, 240, 1000, usual/2)
+	const unplanned, plannedOnly = 1000, 2
+	play(t, program, 240, unplanned, usual/2)
+	play(t, program, 241, plannedOnly, usual/2)
 	for index, seed := range regressions(t) {
-		play(t, program, 241+index%10, seed, usual)
+		play(t, program, 242+index%10, seed, usual)
 	}
 }
 
 func play(t *testing.T, program string, slot int, seed uint64, span time.Duration) {
 	t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+		t.Parallel()
 		report, err := soak.Run(t.Context(), soak.Config{
 			Seed: seed, Slot: slot, Program: program, Directory: t.TempDir(), Balancers: 6, Callers: 40, Span: span,
 		})
