The soak refuses more balancers than the machine has descriptors for

Found by seed 501 with 180 balancers, which ended with too many open files in its middle: a proxy has a socket for each sender.

--- a/wigeonlab/internal/soak/soak.go
+++ b/wigeonlab/internal/soak/soak.go
@@ -39,6 +39,10 @@
 	// readySpan bounds the start of the fleet.
 	readySpan = 20 * time.Second
 	readyLook = 100 * time.Millisecond
+	// balancersMost bounds the balancers: each has one number of four address spaces.
+	balancersMost = 200
+	// descriptorsSpare are for the store, servers, callers, logs and connections.
+	descriptorsSpare = 600
 	// inspectPeriod is how often the history is judged.
 	inspectPeriod = 2 * time.Second
 	// tailSpan follows the last fault: calm, and then some requests.
@@ -55,8 +59,27 @@
 	Failed  int
 }
 
+// check refuses what cannot be played on this machine.
+func (c Config) check() error {
+	if c.Balancers < 1 || c.Balancers > balancersMost {
+		return fmt.Errorf("soak: %d balancers: must be from 1 to %d", c.Balancers, balancersMost)
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return fmt.Errorf("soak: read the limit of descriptors: %w", err)
+	}
+	// Each proxy between balancers has a socket for each of the others.
+	if need := uint64(c.Balancers*c.Balancers + descriptorsSpare); need > limit.Cur {
+		return fmt.Errorf("soak: %d balancers need %d descriptors, the limit is %d: use fewer", c.Balancers, need, limit.Cur)
+	}
+	return nil
+}
+
 // Run plays one seed. The error says why it could not be played.
 func Run(ctx context.Context, config Config) (Report, error) {
+	if err := config.check(); err != nil {
+		return Report{}, err
+	}
 	if err := os.MkdirAll(config.Directory, 0o755); err != nil {
 		return Report{}, fmt.Errorf("soak: %w", err)
 	}
--- a/wigeonlab/internal/soak/soak_test.go
+++ b/wigeonlab/internal/soak/soak_test.go
@@ -134,6 +134,17 @@
 	}
 }
 
+func TestRunRefusesWhatTheMachineCannotHold(t *testing.T) {
+	for balancers, reason := range map[int]string{
+		0:   "soak: 0 balancers: must be from 1 to 200",
+		201: "soak: 201 balancers: must be from 1 to 200",
+	} {
+		if _, err := soak.Run(t.Context(), soak.Config{Balancers: balancers}); err == nil || err.Error() != reason {
+			t.Errorf("%d balancers: got %v, want %s", balancers, err, reason)
+		}
+	}
+}
+
 // regressions reads the seeds that have failed once, each with its cause.
 func regressions(t *testing.T) []uint64 {
 	file, err := os.Open("testdata/regressions.txt")
--- a/wigeonlab/soak.go
+++ b/wigeonlab/soak.go
@@ -47,7 +47,7 @@
 	flags.BoolVar(&c.keep, "keep", false, "keep the logs of all runs")
 	flags.StringVar(&c.config.Program, "program", "bin/wigeond", "balancer to run")
 	flags.StringVar(&c.config.Directory, "directory", "out/soak", "directory for settings and logs")
-	flags.IntVar(&c.config.Balancers, "balancers", 6, "number of balancers, at most 200")
+	flags.IntVar(&c.config.Balancers, "balancers", 6, "number of balancers, at most 200; their square in descriptors is needed")
 	flags.IntVar(&c.config.Callers, "callers", 60, "number of callers")
 	flags.DurationVar(&c.config.Span, "span", 15*time.Second, "time in which faults begin")
 }
