The soak numbers servers under one lock

Cause, found by reading: two steps that start a server at the same time could take the same number, and with it the same id and addresses. Not seen in a run. Change: the number is reserved together with the entry in the history.

--- a/wigeonlab/internal/soak/soak.go
+++ b/wigeonlab/internal/soak/soak.go
@@ -189,9 +189,9 @@
 // conclude judges the run.
 func (w *world) conclude(report *Report) error {
 	h := w.snapshot()
-	for index, s := range w.servers {
-		if h.Lives[index].Ended.IsZero() {
-			h.Lives[index].Strangers = s.Strangers.Load()
+	for _, s := range w.servers {
+		if life := &h.Lives[s.number-1]; life.Ended.IsZero() {
+			life.Strangers = s.Strangers.Load()
 		}
 	}
 	for _, b := range w.balancers {
--- a/wigeonlab/internal/soak/world.go
+++ b/wigeonlab/internal/soak/world.go
@@ -20,7 +20,8 @@
 	"wigeonmoor.example/wigeonlab/internal/router"
 )
 
-// Ports, and the third number of the IP numbers of what listens: 127.SLOT.NET.NUMBER.
+// Ports, and the third number of the IP numbers of what listens, 127.SLOT.NET.NUMBER: peers,
+// store and servers are reached by way of proxies in peerNet, storeNet and publicNet.
 const (
 	trafficPort, peerPort, adminPort, readyPort = 7700, 7701, 7702, 7703
 	storePort, serverPort                       = 9000, 8000
@@ -30,7 +31,8 @@
 
 const (
 	domains = 3
-	// services and serversEach are a small deployment of the users'.
+	// serversEach is the number of servers of a service at the start, as on the users'
+	// small sites.
 	serversEach = 6
 	// requestPause is the longest pause between two requests of a flow, and
 	// requestsMost bounds them.
@@ -129,14 +131,15 @@
 // addServer starts a backend server and publishes it, at an address that was another's
 // if one is given.
 func (w *world) addServer(ctx context.Context, service string, public netip.AddrPort) (*server, error) {
-	w.mutex.Lock()
-	number := len(w.servers) + 1
-	w.mutex.Unlock()
+	number := w.reserve(service)
 	if !public.IsValid() {
 		public = netip.AddrPortFrom(w.ip(publicNet, number), serverPort)
 	}
 	ctx, stop := context.WithCancel(ctx)
-	s := &server{name: fmt.Sprintf("i-%04x", number), service: service, domain: domainName(number % domains), number: number, public: public, link: &proxy.Link{}, stop: stop}
+	s := &server{
+		name: serverName(number), service: service, domain: domainName(number % domains), number: number,
+		public: public, link: &proxy.Link{}, stop: stop,
+	}
 	var err error
 	s.Server, err = stand.NewServer(stand.ServerConfig{
 		ID: s.name, Number: state.BackendID(number), Callers: trafficPort, Public: public,
@@ -157,12 +160,23 @@
 	}
 	w.mutex.Lock()
 	w.servers = append(w.servers, s)
-	w.history.Lives = append(w.history.Lives, Life{Name: s.name, Service: service})
 	w.mutex.Unlock()
 	w.publish(s, "ready")
 	return s, nil
 }
 
+// reserve enters a server's life and returns its number. Steps that overlap may each start
+// a server.
+func (w *world) reserve(service string) int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	number := len(w.history.Lives) + 1
+	w.history.Lives = append(w.history.Lives, Life{Name: serverName(number), Service: service})
+	return number
+}
+
+func serverName(number int) string { return fmt.Sprintf("i-%04x", number) }
+
 func (w *world) publish(s *server, standing string) {
 	w.store.Put(s.Key(), s.Entry(s.service, s.domain, standing))
 }
