The soak harms links in one way; what nobody used is gone

Found by reading as a newcomer: five steps set a harm, waited and took it off; two crashed a server and let its entry lapse; both ways of a datagram had a loop of their own; a proxy could be redirected and a server have left, which nobody did; a link's delay and loss had no name. No rule or bound has changed.

--- a/wigeonlab/internal/proxy/datagram.go
+++ b/wigeonlab/internal/proxy/datagram.go
@@ -18,8 +18,8 @@
 type Datagrams struct {
 	link  *Link
 	conn  *net.UDPConn
-	mutex sync.Mutex
 	to    netip.AddrPort
+	mutex sync.Mutex
 	// upstream has a socket a sender, so that answers find the way back.
 	upstream map[netip.AddrPort]*net.UDPConn
 }
@@ -40,13 +40,6 @@
 	return d, nil
 }
 
-// Redirect changes where datagrams go.
-func (d *Datagrams) Redirect(to netip.AddrPort) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.to = to
-}
-
 func (d *Datagrams) close() {
 	_ = d.conn.Close()
 	d.mutex.Lock()
@@ -56,24 +49,14 @@
 	}
 }
 
+// forward passes on what senders send until the socket is closed.
 func (d *Datagrams) forward() {
-	buffer := make([]byte, maxDatagramBytes)
-	for {
-		count, from, err := d.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			// A datagram that was refused on the way is reported here and is lost.
-			continue
-		}
+	receive(d.conn, func(from netip.AddrPort, data []byte) {
 		harm := d.link.harm(from.Addr())
-		if harm.SilentForward || rand.Float64() < harm.Loss {
-			continue
+		if !harm.SilentForward {
+			harm.pass(func() { d.send(from, data) })
 		}
-		data := append([]byte(nil), buffer[:count]...)
-		later(harm.Delay, func() { d.send(from, data) })
-	}
+	})
 }
 
 func (d *Datagrams) send(from netip.AddrPort, data []byte) {
@@ -96,29 +79,38 @@
 
 // back passes answers to a sender until the socket is closed.
 func (d *Datagrams) back(conn *net.UDPConn, to netip.AddrPort) {
+	receive(conn, func(_ netip.AddrPort, data []byte) {
+		harm := d.link.harm(to.Addr())
+		if !harm.SilentBack {
+			// What cannot be sent is lost.
+			harm.pass(func() { _, _ = d.conn.WriteToUDPAddrPort(data, to) })
+		}
+	})
+}
+
+// receive calls take for each datagram until the socket is closed.
+func receive(conn *net.UDPConn, take func(from netip.AddrPort, data []byte)) {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		count, _, err := conn.ReadFromUDPAddrPort(buffer)
+		count, from, err := conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
+			// A datagram that was refused on the way is reported here and is lost.
 			continue
 		}
-		harm := d.link.harm(to.Addr())
-		if harm.SilentBack || rand.Float64() < harm.Loss {
-			continue
-		}
-		data := append([]byte(nil), buffer[:count]...)
-		later(harm.Delay, func() { _, _ = d.conn.WriteToUDPAddrPort(data, to) })
+		take(from, append([]byte(nil), buffer[:count]...))
 	}
 }
 
-// later runs something at once or after a delay.
-func later(delay time.Duration, run func()) {
-	if delay == 0 {
-		run()
-		return
+// pass sends a datagram at once or after the delay, unless it is lost.
+func (h Harm) pass(send func()) {
+	switch {
+	case rand.Float64() < h.Loss:
+	case h.Delay == 0:
+		send()
+	default:
+		time.AfterFunc(h.Delay, send)
 	}
-	time.AfterFunc(delay, run)
 }
--- a/wigeonlab/internal/soak/judge.go
+++ b/wigeonlab/internal/soak/judge.go
@@ -49,9 +49,9 @@
 
 // Life is a backend server's.
 type Life struct {
-	Name, Service        string
-	Drained, Left, Ended time.Time
-	Strangers            int64
+	Name, Service  string
+	Drained, Ended time.Time
+	Strangers      int64
 }
 
 // Route is a route's publication.
@@ -145,8 +145,7 @@
 
 // judgeFirst looks at a first packet that a server took.
 func (j *judge) judgeFirst(a *stand.Arrival, life *Life, route *Route) {
-	left := earliest(life.Drained, life.Left)
-	if !left.IsZero() && a.At.Sub(left) > drainBound && j.calm(left, a.At, "") {
+	if left := life.Drained; !left.IsZero() && a.At.Sub(left) > drainBound && j.calm(left, a.At, "") {
 		j.add(a.At, "drain", "%s got a new flow %s after it was leaving", a.Server, a.At.Sub(left))
 	}
 	if !route.Dropped.IsZero() && a.At.Sub(route.Dropped) > routeBound && j.calm(route.Dropped, a.At, "") {
@@ -233,11 +232,3 @@
 		j.add(time.Time{}, "configuration", "went back to an older version: %s", line)
 	}
 }
-
-// earliest returns the first of two times that has come, or zero.
-func earliest(one, other time.Time) time.Time {
-	if one.IsZero() || !other.IsZero() && other.Before(one) {
-		return other
-	}
-	return one
-}
--- a/wigeonlab/internal/soak/steps.go
+++ b/wigeonlab/internal/soak/steps.go
@@ -17,6 +17,9 @@
 	drainSpan = 5 * time.Second
 	// lapseSpan is three heartbeats, after which a silent server's entry lapses.
 	lapseSpan = 2 * time.Second
+	// linkDelay and linkLoss are what a delayed or lossy link does to what passes.
+	linkDelay = 200 * time.Millisecond
+	linkLoss  = 0.2
 	// slowDelay is added to the store's answers while it is slow.
 	slowDelay = 250 * time.Millisecond
 	// manyShare of the balancers are killed by KillMany.
@@ -36,11 +39,11 @@
 	case AnswerLost:
 		return proxy.Harm{SilentBack: true}
 	case Lossy:
-		return proxy.Harm{Loss: 0.2}
+		return proxy.Harm{Loss: linkLoss}
 	case Reset:
 		return proxy.Harm{Reset: true, SilentForward: true}
 	}
-	return proxy.Harm{Delay: 200 * time.Millisecond}
+	return proxy.Harm{Delay: linkDelay}
 }
 
 // perform carries a step out and returns when it is over.
@@ -72,17 +75,11 @@
 		harm := step.harm()
 		// A reset connection would tell that the server has ended, and it has not.
 		harm.Reset = false
-		victim.link.Set(harm)
-		pause(ctx, step.For)
-		victim.link.Set(proxy.Harm{})
+		harmFor(ctx, step.For, harm, victim.link.Set)
 	case ServerCrash:
-		w.crash(victim)
-		pause(ctx, lapseSpan)
-		w.store.Remove(victim.Key())
+		w.crashAndLapse(ctx, victim)
 	case AddressReuse:
-		w.crash(victim)
-		pause(ctx, lapseSpan)
-		w.store.Remove(victim.Key())
+		w.crashAndLapse(ctx, victim)
 		pause(ctx, lapseSpan)
 		// The proxy's sockets have closed by now.
 		_, err := w.addServer(w.context, services[(victim.number+1)%len(services)], victim.public)
@@ -105,6 +102,20 @@
 	return nil
 }
 
+// harmFor harms something for a while.
+func harmFor(ctx context.Context, span time.Duration, harm proxy.Harm, set func(proxy.Harm)) {
+	set(harm)
+	pause(ctx, span)
+	set(proxy.Harm{})
+}
+
+// crashAndLapse ends a server at once; its entry lapses later.
+func (w *world) crashAndLapse(ctx context.Context, s *server) {
+	w.crash(s)
+	pause(ctx, lapseSpan)
+	w.store.Remove(s.Key())
+}
+
 // crash ends a server at once.
 func (w *world) crash(s *server) {
 	w.life(s, func(l *Life) {
@@ -124,25 +135,18 @@
 	case Freeze:
 		b.freeze(ctx, step.For)
 	case StoreLink:
-		b.store.Set(step.harm())
-		pause(ctx, step.For)
-		b.store.Set(proxy.Harm{})
+		harmFor(ctx, step.For, step.harm(), b.store.Set)
 	case StoreDown:
 		w.store.SetDown(true)
 		pause(ctx, step.For)
 		w.store.SetDown(false)
 	case StoreSlow:
-		w.harmStores(proxy.Harm{Delay: slowDelay})
-		pause(ctx, step.For)
-		w.harmStores(proxy.Harm{})
+		harmFor(ctx, step.For, proxy.Harm{Delay: slowDelay}, w.harmStores)
 	case PeerLink:
-		b.peers.Set(step.harm())
-		pause(ctx, step.For)
-		b.peers.Set(proxy.Harm{})
+		harmFor(ctx, step.For, step.harm(), b.peers.Set)
 	case DomainCut:
-		w.cut(int(step.Pick)%domains, proxy.Harm{SilentForward: true, SilentBack: true})
-		pause(ctx, step.For)
-		w.cut(int(step.Pick)%domains, proxy.Harm{})
+		silence := proxy.Harm{SilentForward: true, SilentBack: true}
+		harmFor(ctx, step.For, silence, func(h proxy.Harm) { w.cut(int(step.Pick)%domains, h) })
 	case Terminate:
 		b.end(syscall.SIGTERM)
 		return b.start()
