What travels between balancers is what has changed, in paced parts from whoever has some

Replica.Since put the whole configuration into every difference, gossip.answer sent all parts at once to whoever asked, a balancer that lagged asked everybody it heard every 100 ms, and an assembly kept the parts of one sender only.

Change: routes have revisions, and a digest of the whole catches what a reader has missed. A difference is cut into compressed parts that depend on the items alone, so that parts of several senders fit together; those who have some serve them.

In calm fleets of 300 a reader was taken for silent now and then, as its heartbeat needs several rounds; both readers now ride on every datagram (TestCalmFleetMissesNobody).

--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -199,6 +199,10 @@
 		delta.Removed[removal.Backend.Name] = removal.Revision
 	}
 	delta.Departed = nil
+	if delta.Amendment != nil {
+		// The store holds it as a whole.
+		delta.Amendment, delta.Configuration = nil, p.store.Configuration()
+	}
 	return delta
 }
 
--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -124,8 +124,8 @@
 		sides:    make(map[string]int),
 		flows:    make(map[tagged.Key]*flow),
 	}
-	p.store.Apply(state.Delta{Full: true, To: 1}, time.Now())
 	p.revision = 1
+	p.apply(state.Delta{Full: true, To: p.revision})
 	for domain := range settings.Domains {
 		for _, service := range settings.Services {
 			for range service.Servers {
@@ -183,7 +183,13 @@
 
 func (p *Platform) publish(delta state.Delta) {
 	delta.From, delta.To = p.revision-1, p.revision
-	p.store.Apply(delta, time.Now())
+	p.apply(delta)
+}
+
+func (p *Platform) apply(delta state.Delta) {
+	if _, err := p.store.Apply(delta, time.Now()); err != nil {
+		p.violated("the store refused a change: %v", err)
+	}
 }
 
 func (p *Platform) listen(class *Class) state.Endpoint {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,6 +53,11 @@
 	// with 9,000 servers one takes about 25 ms, and a second of pause bounds that to a few
 	// hundredths of a core while changes go on.
 	changePauseEach = 100 * time.Microsecond
+	// bulkShare is the part of the link that differences between balancers may take, so
+	// that callers' packets hardly wait, and bulkMost bounds it in bytes a second: 400
+	// datagrams take a hundredth of a core.
+	bulkShare = 0.2
+	bulkMost  = 500_000
 	// pauseLimit is the gap between two ticks at which the process counts as paused.
 	pauseLimit = time.Second
 )
@@ -164,6 +169,7 @@
 		Rand:      random,
 		Log:       config.Log,
 		Replica:   e.replica,
+		BulkRate:  bulkRate(settings.Link),
 		Loads:     e.core.Loads,
 		TakeLoads: e.core.TakeLoads,
 		Changed:   e.changed,
@@ -185,6 +191,11 @@
 	return e, nil
 }
 
+// bulkRate is what may be sent of differences between balancers.
+func bulkRate(link setup.Megabits) gossip.Rate {
+	return gossip.Rate(min(link.BytesPerSecond()*bulkShare, bulkMost))
+}
+
 // open opens all listeners. They close with the context.
 func (e *Entry) open(ctx context.Context) error {
 	var err error
--- a/internal/gossip/delta.go
+++ b/internal/gossip/delta.go
@@ -1,116 +1,21 @@
 package gossip
 
-// Differences of replicas on their way between balancers. A difference is one
-// protobuf message, cut into parts that fit a datagram each; parts that arrived stay
-// until the message is whole, so that a repeated answer fills the gaps.
+// Items of a difference as messages. Spans of time in them count from when they were
+// written, since instances' clocks differ.
 
 import (
-	"fmt"
-	"net/netip"
-	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"wigeonmoor.example/internal/state"
 	"wigeonmoor.example/internal/wire"
 )
 
-const (
-	// partBytes keeps a datagram within the usual 1,500 bytes.
-	partBytes = 1200
-	// maxParts bounds what an answer may hold: 9,000 backend servers are about
-	// 900 KB.
-	maxParts = 2048
-)
-
-// answer sends what has changed since a revision, or all departed backend servers.
-func (n *Node) answer(want *wire.Want, to netip.AddrPort, now time.Time) {
-	if !n.settings.Replica.Loaded() {
-		return
-	}
-	delta := n.settings.Replica.Since(state.Revision(want.Revision))
-	if want.Departed {
-		delta = n.settings.Replica.Departed()
-	}
-	data, err := proto.Marshal(encodeDelta(delta, now))
-	if err != nil {
-		n.settings.Log.Error(err, "gossip: difference could not be written", "Peer", to)
-		return
-	}
-	chunks := slices.Collect(slices.Chunk(data, partBytes))
-	for index, chunk := range chunks {
-		part := &wire.Part{
-			From: uint64(delta.From), To: uint64(delta.To), Full: delta.Full,
-			Index: uint32(index), Count: uint32(len(chunks)), Data: chunk, Departed: want.Departed,
-		}
-		n.out = append(n.out, Message{To: to, Data: n.marshal(&wire.Exchange{Body: &wire.Exchange_Part{Part: part}})})
-	}
-}
-
-// assembly collects the parts of one answer.
-type assembly struct {
-	from   netip.AddrPort
-	since  uint64
-	to     uint64
-	pieces [][]byte
-	left   int
-}
-
-func (a *assembly) fits(part *wire.Part, from netip.AddrPort) bool {
-	return a.from == from && a.since == part.From && a.to == part.To && len(a.pieces) == int(part.Count)
-}
-
-func (n *Node) takePart(part *wire.Part, from netip.AddrPort, now time.Time) error {
-	if part.Count == 0 || part.Count > maxParts || part.Index >= part.Count {
-		return fmt.Errorf("gossip: part %d of %d from %s: at most %d parts are taken", part.Index, part.Count, from, maxParts)
-	}
-	if !part.Departed && state.Revision(part.To) <= n.settings.Replica.Revision() && n.settings.Replica.Loaded() {
-		return nil
-	}
-	a := &n.parts
-	if !a.fits(part, from) {
-		*a = assembly{from: from, since: part.From, to: part.To, pieces: make([][]byte, part.Count), left: int(part.Count)}
-	}
-	if a.pieces[part.Index] == nil {
-		a.pieces[part.Index] = part.Data
-		a.left--
-	}
-	if a.left > 0 {
-		return nil
-	}
-	message := &wire.Delta{}
-	err := proto.Unmarshal(slices.Concat(a.pieces...), message)
-	n.parts = assembly{}
-	if err != nil {
-		return fmt.Errorf("gossip: read difference of %s: %w", from, err)
-	}
-	if part.Departed || part.Full {
-		n.departedAnswers++
-	}
-	if n.settings.Replica.Apply(decodeDelta(message, now), now) {
-		n.settings.Changed(from.String(), now)
-	}
-	return nil
-}
-
-func encodeDelta(delta state.Delta, now time.Time) *wire.Delta {
-	message := &wire.Delta{From: uint64(delta.From), To: uint64(delta.To), Full: delta.Full}
-	for index := range delta.Backends {
-		message.Backends = append(message.Backends, encodeBackend(&delta.Backends[index], now))
+func encodeRemoval(removal *state.Removal, now time.Time) *wire.Departed {
+	return &wire.Departed{
+		Backend:         encodeBackend(&removal.Backend, now),
+		Revision:        uint64(removal.Revision),
+		AgeMilliseconds: uint32(max(now.Sub(removal.At).Milliseconds(), 0)),
 	}
-	for index := range delta.Departed {
-		removal := &delta.Departed[index]
-		message.Departed = append(message.Departed, &wire.Departed{
-			Backend:         encodeBackend(&removal.Backend, now),
-			Revision:        uint64(removal.Revision),
-			AgeMilliseconds: uint32(max(now.Sub(removal.At).Milliseconds(), 0)),
-		})
-	}
-	if delta.Configuration != nil {
-		message.Configuration = encodeConfiguration(delta.Configuration)
-	}
-	return message
 }
 
 func encodeBackend(backend *state.Backend, now time.Time) *wire.PublishedBackend {
@@ -130,47 +35,35 @@
 	}
 }
 
-func encodeConfiguration(configuration *state.Configuration) *wire.Configuration {
-	message := &wire.Configuration{
-		Version:          uint64(configuration.Version),
-		Revision:         uint64(configuration.Revision),
-		IdleMilliseconds: uint32(configuration.IdleTimeout.Milliseconds()),
-	}
-	for index := range configuration.Routes {
-		route := &configuration.Routes[index]
-		encoded := &wire.Route{
-			Name: route.Name, Listen: uint64(route.Listen), Idempotent: route.Idempotent,
-			TimeoutMilliseconds:   uint32(route.Timeout.Milliseconds()),
-			ObjectiveMilliseconds: uint32(route.Objective.Milliseconds()),
-			Priority:              uint32(route.Priority),
-		}
-		for _, share := range route.Shares {
-			encoded.Shares = append(encoded.Shares, &wire.Share{Service: share.Service, Weight: uint32(share.Weight)})
-		}
-		message.Routes = append(message.Routes, encoded)
-	}
-	return message
+func encodeRoute(route *state.Route) *wire.Route {
+	encoded := &wire.Route{
+		Name: route.Name, Listen: uint64(route.Listen), Idempotent: route.Idempotent,
+		TimeoutMilliseconds:   uint32(route.Timeout.Milliseconds()),
+		ObjectiveMilliseconds: uint32(route.Objective.Milliseconds()),
+		Priority:              uint32(route.Priority),
+		Revision:              uint64(route.Revision),
+	}
+	for _, share := range route.Shares {
+		encoded.Shares = append(encoded.Shares, &wire.Share{Service: share.Service, Weight: uint32(share.Weight)})
+	}
+	return encoded
 }
 
-func decodeDelta(message *wire.Delta, now time.Time) state.Delta {
-	delta := state.Delta{From: state.Revision(message.From), To: state.Revision(message.To), Full: message.Full}
+// decodeInto adds the items of a part that was written at the given time to a delta.
+func decodeInto(delta *state.Delta, message *wire.Delta, written time.Time) {
 	for _, encoded := range message.Backends {
-		delta.Backends = append(delta.Backends, decodeBackend(encoded, now))
+		delta.Backends = append(delta.Backends, decodeBackend(encoded, written))
 	}
 	for _, departed := range message.Departed {
 		if departed.Backend == nil {
 			continue
 		}
 		delta.Departed = append(delta.Departed, state.Removal{
-			Backend:  decodeBackend(departed.Backend, now),
+			Backend:  decodeBackend(departed.Backend, written),
 			Revision: state.Revision(departed.Revision),
-			At:       now.Add(-time.Duration(departed.AgeMilliseconds) * time.Millisecond),
+			At:       written.Add(-time.Duration(departed.AgeMilliseconds) * time.Millisecond),
 		})
 	}
-	if message.Configuration != nil {
-		delta.Configuration = decodeConfiguration(message.Configuration)
-	}
-	return delta
 }
 
 func decodeBackend(encoded *wire.PublishedBackend, now time.Time) state.Backend {
@@ -194,23 +87,40 @@
 	return backend
 }
 
-func decodeConfiguration(message *wire.Configuration) *state.Configuration {
-	configuration := &state.Configuration{
-		Version:     state.Version(message.Version),
-		Revision:    state.Revision(message.Revision),
-		IdleTimeout: time.Duration(message.IdleMilliseconds) * time.Millisecond,
-	}
+func decodeRoute(encoded *wire.Route) state.Route {
+	route := state.Route{
+		Name: encoded.Name, Listen: state.Endpoint(encoded.Listen), Idempotent: encoded.Idempotent,
+		Timeout:   time.Duration(encoded.TimeoutMilliseconds) * time.Millisecond,
+		Objective: time.Duration(encoded.ObjectiveMilliseconds) * time.Millisecond,
+		Priority:  int(encoded.Priority),
+		Revision:  state.Revision(encoded.Revision),
+	}
+	for _, share := range encoded.Shares {
+		route.Shares = append(route.Shares, state.Share{Service: share.Service, Weight: int(share.Weight)})
+	}
+	return route
+}
+
+// decodeConfiguration puts the configuration that all parts tell together into a delta.
+func decodeConfiguration(delta *state.Delta, message *wire.Configuration, now time.Time) {
+	routes := make([]state.Route, 0, len(message.Routes))
 	for _, encoded := range message.Routes {
-		route := state.Route{
-			Name: encoded.Name, Listen: state.Endpoint(encoded.Listen), Idempotent: encoded.Idempotent,
-			Timeout:   time.Duration(encoded.TimeoutMilliseconds) * time.Millisecond,
-			Objective: time.Duration(encoded.ObjectiveMilliseconds) * time.Millisecond,
-			Priority:  int(encoded.Priority),
-		}
-		for _, share := range encoded.Shares {
-			route.Shares = append(route.Shares, state.Share{Service: share.Service, Weight: int(share.Weight)})
+		routes = append(routes, decodeRoute(encoded))
+	}
+	idle := time.Duration(message.IdleMilliseconds) * time.Millisecond
+	if !message.Amended {
+		delta.Configuration = &state.Configuration{
+			Version: state.Version(message.Version), Revision: state.Revision(message.Revision),
+			IdleTimeout: idle, Routes: routes,
 		}
-		configuration.Routes = append(configuration.Routes, route)
+		return
+	}
+	delta.Amendment = &state.Amendment{
+		Version: state.Version(message.Version), Revision: state.Revision(message.Revision),
+		IdleTimeout: idle, Routes: routes, Digest: state.Digest(message.Digest),
+	}
+	for _, gone := range message.Gone {
+		removal := state.RouteRemoval{Listen: state.Endpoint(gone.Listen), Revision: state.Revision(gone.Revision), At: now}
+		delta.Amendment.Removed = append(delta.Amendment.Removed, removal)
 	}
-	return configuration
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -4,7 +4,8 @@
 // Every period a balancer sends one datagram to a few others. It carries the sender's
 // heartbeat, some of the heartbeats that it knows, the revision of its replica with
 // the time at which that was known to be the newest, and its load. A receiver with an
-// older revision asks for the difference, which comes in parts.
+// older revision asks for the difference, which comes in parts, from whoever has some
+// of them (transfer.go, serve.go, fetch.go).
 //
 // Sessions between all pairs, as package link has them, were rejected: they cost a
 // connection and its wake-ups for each pair, and may go silent without an error. A
@@ -47,14 +48,14 @@
 	// seedHurry while nobody is known at all.
 	seedPeriod = 2 * time.Second
 	seedHurry  = 100 * time.Millisecond
-	// wantPause lies between two requests for a difference.
-	wantPause = 100 * time.Millisecond
-	// helpBeats is how many rounds a newcomer is helped to know everybody, 10 s; helpPause
-	// lies between two such answers of one balancer, and membersHelped bounds each, so
-	// that it fits the usual 1,500 bytes.
+	// helpBeats is how many rounds a newcomer is helped to know everybody, 10 s, and
+	// helperBeats how many a helper has lived, 2 s; helpPause lies between two such
+	// answers of one balancer, and membersHelped bounds each, so that it is hardly larger
+	// than what a round sends.
 	helpBeats     = 50
+	helperBeats   = 10
 	helpPause     = 100 * time.Millisecond
-	membersHelped = 24
+	membersHelped = 20
 	// departedSources is how many peers tell a newcomer of departed backend servers: some
 	// of them may have just started, too.
 	departedSources = 3
@@ -72,6 +73,8 @@
 	Rand    *rand.Rand
 	Log     logr.Logger
 	Replica *state.Replica
+	// BulkRate bounds what is sent of differences, 0 is DefaultBulkRate.
+	BulkRate Rate
 	// Loads appends this balancer's load to a list.
 	Loads func([]tagged.Load) []tagged.Load
 	// TakeLoads gets a peer's load.
@@ -96,9 +99,12 @@
 	confirmed time.Time
 	nextRound time.Time
 	nextSeeds time.Time
-	nextWant  time.Time
 	nextHelp  time.Time
-	parts     assembly
+	desk      desk
+	// view is what is fetched of changes, departed of backend servers that have left.
+	view, departed fetch
+	// helped counts newcomers helped since the last round, which is smaller for it.
+	helped int
 	// departedAnswers counts the peers that have told of departed backend servers.
 	departedAnswers int
 	loads           []tagged.Load
@@ -114,6 +120,7 @@
 		return nil, fmt.Errorf("gossip: listen on %s: the address is not IPv4", settings.Address)
 	}
 	n := &Node{settings: settings, roster: roster{named: make(map[string]*member)}}
+	n.desk.rate = cmp.Or(settings.BulkRate, DefaultBulkRate)
 	// The time of day may jump, so that lives are told apart by a random number.
 	n.self = wire.Member{
 		Name:        settings.Name,
@@ -137,7 +144,12 @@
 	if !n.settings.Replica.Fits(delta) {
 		return nil
 	}
-	if n.settings.Replica.Apply(delta, now) {
+	changed, err := n.settings.Replica.Apply(delta, now)
+	if err != nil {
+		n.settings.Log.Error(err, "gossip: reading of the platform refused")
+		return nil
+	}
+	if changed {
 		n.settings.Changed("platform", now)
 		n.round(now)
 	}
@@ -163,6 +175,8 @@
 	if !now.Before(n.nextSeeds) {
 		n.tellSeeds(now)
 	}
+	n.pursue(now)
+	n.serve(now)
 	return n.out
 }
 
@@ -191,7 +205,8 @@
 func (n *Node) round(now time.Time) {
 	n.self.Beat++
 	n.chooseReaders(now)
-	targets := n.pickTargets()
+	targets := n.pickTargets(fanout - n.helped)
+	n.helped = 0
 	if len(targets) == 0 {
 		return
 	}
@@ -219,17 +234,24 @@
 	}
 }
 
-// gossip returns a datagram of this moment that tells of some members.
-func (n *Node) gossip(members []*wire.Member, now time.Time) []byte {
+// greeting returns what a datagram of this moment tells of the sender, but for its load.
+func (n *Node) greeting(now time.Time) *wire.Gossip {
 	message := &wire.Gossip{
 		Sender:   &n.self,
 		Revision: uint64(n.settings.Replica.Revision()),
-		Members:  members,
 		Live:     uint32(n.Count()),
+		Fetching: uint64(n.view.fetching()),
 	}
 	if !n.confirmed.IsZero() {
 		message.ConfirmedMilliseconds = uint32(now.Sub(n.confirmed).Milliseconds()) + 1
 	}
+	return message
+}
+
+// gossip returns a datagram of this moment that tells of some members and of the load.
+func (n *Node) gossip(members []*wire.Member, now time.Time) []byte {
+	message := n.greeting(now)
+	message.Members = members
 	n.loads = n.settings.Loads(n.loads[:0])
 	for _, load := range heaviest(n.loads) {
 		message.Tags = append(message.Tags, uint32(load.Tag))
@@ -251,16 +273,6 @@
 	return loads[:loadsTold]
 }
 
-func (n *Node) marshal(exchange *wire.Exchange) []byte {
-	data, err := proto.Marshal(exchange)
-	if err != nil {
-		// Only text that is not UTF-8 cannot be written, and it is checked on the
-		// way in.
-		n.settings.Log.Error(err, "gossip: message could not be written")
-	}
-	return data
-}
-
 // Receive takes a datagram in. The error says what is wrong with it.
 func (n *Node) Receive(data []byte, from netip.AddrPort, now time.Time) ([]Message, error) {
 	n.out = nil
@@ -274,7 +286,8 @@
 	case *wire.Exchange_Want:
 		n.answer(body.Want, from, now)
 	case *wire.Exchange_Part:
-		return nil, n.takePart(body.Part, from, now)
+		err := n.takePart(body.Part, from, now)
+		return n.out, err
 	default:
 		return nil, fmt.Errorf("gossip: datagram of %s has no body", from)
 	}
@@ -294,57 +307,28 @@
 		n.out = append(n.out, Message{To: from, Data: n.gossip(n.tell(), now)})
 	}
 	n.helpNewcomer(message, from, now)
-	n.takeLoads(message, now)
+	if !message.WithoutLoads {
+		n.takeLoads(message, now)
+	}
 	n.compare(message, from, now)
 	n.learnDeparted(message, from, now)
 }
 
 // helpNewcomer tells a balancer that has just started, and knows fewer members, of more
-// of them than a round does. Newcomers help nobody: when a whole fleet starts, all would.
-func (n *Node) helpNewcomer(message *wire.Gossip, from netip.AddrPort, now time.Time) {
-	if n.self.Beat <= helpBeats || message.Sender.Beat > helpBeats || int(message.Live) >= n.Count() || now.Before(n.nextHelp) {
+// of them than a round does. Those who know few themselves help nobody: when a whole fleet
+// starts, all would.
+func (n *Node) helpNewcomer(told *wire.Gossip, from netip.AddrPort, now time.Time) {
+	if n.self.Beat <= helperBeats || told.Sender.Beat > helpBeats || int(told.Live) >= n.Count() || now.Before(n.nextHelp) {
 		return
 	}
 	n.nextHelp = now.Add(helpPause)
-	var members []*wire.Member
+	n.helped = min(n.helped+1, fanout-1)
+	message := n.greeting(now)
+	message.WithoutLoads = true
 	for _, m := range n.draw(membersHelped) {
-		members = append(members, m.told)
-	}
-	n.out = append(n.out, Message{To: from, Data: n.gossip(members, now)})
-}
-
-// learnDeparted asks peers for the backend servers that have left the platform's list
-// and may still hold flows. Only a newcomer asks: the others have seen them leave.
-func (n *Node) learnDeparted(message *wire.Gossip, from netip.AddrPort, now time.Time) {
-	current := n.settings.Replica.Loaded() && state.Revision(message.Revision) <= n.settings.Replica.Revision()
-	if n.departedAnswers >= departedSources || !current || now.Before(n.nextWant) {
-		return
-	}
-	n.nextWant = now.Add(wantPause)
-	n.want(from, true)
-}
-
-// compare takes what the sender knows of the newest revision.
-func (n *Node) compare(message *wire.Gossip, from netip.AddrPort, now time.Time) {
-	revision := n.settings.Replica.Revision()
-	theirs := state.Revision(message.Revision)
-	if theirs > revision && !now.Before(n.nextWant) {
-		n.nextWant = now.Add(wantPause)
-		n.want(from, false)
-		return
-	}
-	if theirs == revision && n.settings.Replica.Loaded() && message.ConfirmedMilliseconds > 0 {
-		n.confirm(now.Add(-time.Duration(message.ConfirmedMilliseconds) * time.Millisecond))
-	}
-}
-
-// want asks a peer for what has changed, or for all departed backend servers.
-func (n *Node) want(from netip.AddrPort, departed bool) {
-	want := &wire.Want{Departed: departed}
-	if n.settings.Replica.Loaded() {
-		want.Revision = uint64(n.settings.Replica.Revision())
+		message.Members = append(message.Members, m.told)
 	}
-	n.out = append(n.out, Message{To: from, Data: n.marshal(&wire.Exchange{Body: &wire.Exchange_Want{Want: want}})})
+	n.out = append(n.out, Message{To: from, Data: n.marshal(&wire.Exchange{Body: &wire.Exchange_Gossip{Gossip: message}})})
 }
 
 func (n *Node) takeLoads(message *wire.Gossip, now time.Time) {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -35,6 +35,10 @@
 	sent     int
 	// servers is how many more backend servers each node has load on.
 	servers int
+	// rate is what each node's link carries in bytes a second, 0 for any number;
+	// longest is the longest time that a datagram has waited for it.
+	rate    float64
+	longest time.Duration
 }
 
 type node struct {
@@ -46,11 +50,16 @@
 	loads   map[string]int
 	version state.Version
 	fell    bool
+	// free is when the node's link has sent all that waits for it.
+	free time.Time
+	// sent is the bytes sent since the fleet's count began.
+	sent int
 }
 
 type delivery struct {
 	to, from int
 	data     []byte
+	at       time.Time
 }
 
 func addressOf(number int) netip.AddrPort {
@@ -118,10 +127,28 @@
 	for _, message := range messages {
 		f.sent++
 		f.bytes += len(message.Data)
-		f.inFlight = append(f.inFlight, delivery{to: numberOf(message.To), from: from, data: message.Data})
+		f.nodes[from].sent += len(message.Data) + headerBytes
+		f.inFlight = append(f.inFlight, delivery{to: numberOf(message.To), from: from, data: message.Data, at: f.leaves(from, message)})
 	}
 }
 
+// headerBytes is what IP and UDP add to a datagram.
+const headerBytes = 28
+
+// leaves returns when a node's link has sent a datagram.
+func (f *fleet) leaves(from int, message gossip.Message) time.Time {
+	n := f.nodes[from]
+	if f.rate == 0 {
+		return f.now
+	}
+	if n.free.Before(f.now) {
+		n.free = f.now
+	}
+	n.free = n.free.Add(time.Duration(float64(len(message.Data)+headerBytes) / f.rate * float64(time.Second)))
+	f.longest = max(f.longest, n.free.Sub(f.now))
+	return n.free
+}
+
 // run lets time pass; a datagram takes one step of 20 ms.
 func (f *fleet) run(span time.Duration) {
 	const step = 20 * time.Millisecond
@@ -130,6 +157,10 @@
 		arriving := f.inFlight
 		f.inFlight = nil
 		for _, d := range arriving {
+			if d.at.After(f.now.Add(-step)) {
+				f.inFlight = append(f.inFlight, d)
+				continue
+			}
 			f.deliver(d)
 		}
 		for _, n := range f.nodes {
@@ -424,3 +455,17 @@
 	f.run(5 * time.Second)
 	is.Equal(f.problem(), "")
 }
+
+// In a large fleet news of a reader's heartbeat takes several rounds. Nobody may take that
+// for silence: another one would read the platform instead.
+func TestCalmFleetMissesNobody(t *testing.T) {
+	f := newFleet(300, 15)
+	f.read(0, whole(5, 2))
+	f.run(20 * time.Second)
+	for range 100 {
+		f.run(gossip.Period)
+		if problem := f.problem(); problem != "" {
+			t.Fatalf("after %s: %s", f.now.Sub(start), problem)
+		}
+	}
+}
--- a/internal/gossip/member.go
+++ b/internal/gossip/member.go
@@ -199,9 +199,9 @@
 func (n *Node) Count() int { return len(n.roster.live) + 1 }
 
 // pickTargets draws the members that are told in a round.
-func (n *Node) pickTargets() []netip.AddrPort {
+func (n *Node) pickTargets(count int) []netip.AddrPort {
 	var targets []netip.AddrPort
-	for _, m := range n.draw(fanout) {
+	for _, m := range n.draw(count) {
 		targets = append(targets, m.address)
 	}
 	if n.settings.Rand.Float64() >= revisitChance {
@@ -232,16 +232,15 @@
 	return live[:count]
 }
 
-// tell returns some of the heartbeats known: the readers' by turns, then newcomers' and
-// all in turn, so that newcomers become known soon.
+// tell returns some of the heartbeats known: the readers', so that even in a large fleet
+// they are heard of well within deadSpan, then newcomers' and all in turn, so that
+// newcomers become known soon.
 func (n *Node) tell() []*wire.Member {
 	told := make([]*wire.Member, 0, membersTold)
-	reader := n.roster.first
-	if n.self.Beat%2 == 0 {
-		reader = n.roster.second
-	}
-	if reader != nil && reader != &n.self {
-		told = append(told, reader)
+	for _, reader := range []*wire.Member{n.roster.first, n.roster.second} {
+		if reader != nil && reader != &n.self {
+			told = append(told, reader)
+		}
 	}
 	told = n.roster.tellFresh(told, membersTold/2)
 	return n.roster.tellInTurn(told, membersTold)
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -31,9 +31,11 @@
 	CallerReturn          netip.AddrPort
 	ControlBytesPerSecond int
 	MaxFlows              int
-	LogDecisions          bool
-	Linger                time.Duration
-	Binding               Binding
+	// Link is the speed of the instance's link.
+	Link         Megabits
+	LogDecisions bool
+	Linger       time.Duration
+	Binding      Binding
 	// Ready is the HTTP address of the readiness answer.
 	Ready netip.AddrPort
 	// Seeds are the IP numbers of other balancers.
@@ -43,6 +45,12 @@
 	Advertise netip.AddrPort
 }
 
+// Megabits is a speed in Mbit/s.
+type Megabits float64
+
+// BytesPerSecond returns the speed in bytes.
+func (m Megabits) BytesPerSecond() float64 { return float64(m) * 1e6 / 8 }
+
 // PeerAddress returns where other balancers reach this one.
 func (s *Settings) PeerAddress() netip.AddrPort {
 	if s.Advertise.IsValid() {
@@ -101,6 +109,7 @@
 		{"Callers", "Return", "", "UDP address of the fabric that takes packets to callers; with Owned only.", address(func(s *Settings) *netip.AddrPort { return &s.CallerReturn }), Owned},
 		{"Limits", "ControlBytesPerSecond", "4000", "Budget for control traffic that can wait, in bytes a second.", number(func(s *Settings) *int { return &s.ControlBytesPerSecond }, 500, 100_000_000), ""},
 		{"Limits", "MaxFlows", "2000000", "Flow records held at most.", number(func(s *Settings) *int { return &s.MaxFlows }, 1000, 100_000_000), ""},
+		{"Limits", "Link", "10", "Speed of this instance's link in Mbit/s; a fifth of it at most carries differences between balancers; with Tagged only.", setLink, Tagged},
 		{"Log", "Decisions", "true", "Write a line for each routing or placement decision.", setDecisions, ""},
 		{"Leave", "Linger", "5s", "Time that a leaving balancer forwards packets until the fabric's list has caught up.", setLinger, ""},
 	}
@@ -178,6 +187,19 @@
 	return nil
 }
 
+// slowestLink and fastestLink are in Mbit/s. Below the first a balancer's traffic has no
+// room.
+const slowestLink, fastestLink = 0.1, 1_000_000
+
+func setLink(settings *Settings, value string) error {
+	parsed, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(parsed >= slowestLink && parsed <= fastestLink) {
+		return fmt.Errorf("must be a speed from %g to %d Mbit/s", slowestLink, fastestLink)
+	}
+	settings.Link = Megabits(parsed)
+	return nil
+}
+
 func setDecisions(settings *Settings, value string) error {
 	parsed, err := strconv.ParseBool(value)
 	if err != nil {
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -45,6 +45,8 @@
 	expectProblems(t, valid+"[Limits]\nMaxFlows = 7\n[Leave]\nLinger = soon\n", `
 wigeond.ini:13: Limits.MaxFlows: "7": must be a whole number from 1000 to 100000000
 wigeond.ini:15: Leave.Linger: "soon": must be a time span from 0s to 1h`)
+	expectProblems(t, valid+"[Limits]\nLink = fast\n", `wigeond.ini:13: Limits.Link: "fast": must be a speed from 0.1 to 1000000 Mbit/s`)
+	expectProblems(t, valid+"[Limits]\nLink = NaN\n", `wigeond.ini:13: Limits.Link: "NaN": must be a speed from 0.1 to 1000000 Mbit/s`)
 	expectProblems(t, valid+"[Peers]\nAdvertise = entry-1:7701\n",
 		`wigeond.ini:13: Peers.Advertise: "entry-1:7701": must be an IP number and a port such as 192.0.2.1:7700`)
 	expectProblems(t, strings.Replace(valid, "Domain = lorient\n", "", 1),
--- a/internal/state/bench_test.go
+++ b/internal/state/bench_test.go
@@ -19,7 +19,7 @@
 			for number := range 1300 {
 				delta.Configuration.Routes = append(delta.Configuration.Routes, state.Route{Listen: state.Endpoint(number)})
 			}
-			r.Apply(delta, start)
+			_, _ = r.Apply(delta, start)
 			b.ReportAllocs()
 			for b.Loop() {
 				r.Table()
--- a/internal/state/replica.go
+++ b/internal/state/replica.go
@@ -1,6 +1,9 @@
 package state
 
 import (
+	"cmp"
+	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -10,6 +13,10 @@
 // users' sites (60 s) twice.
 const removalLife = 2 * time.Minute
 
+// ErrDigest says that a change does not lead from the configuration held to the one
+// that its sender holds.
+var ErrDigest = errors.New("the amended configuration has another digest")
+
 // Removal is a backend server that is no longer published.
 type Removal struct {
 	Backend  Backend
@@ -32,8 +39,10 @@
 	// Departed holds the same as peers tell it, with what was published last: flows
 	// may live on there, and the receiver may never have seen the backend server.
 	Departed []Removal
-	// Configuration is nil when it has not changed.
+	// Configuration is the whole one, as the platform and Full deltas tell it, and
+	// Amendment what has changed of it. Both are nil when nothing has changed.
 	Configuration *Configuration
+	Amendment     *Amendment
 }
 
 // Replica holds the published items. It belongs to one goroutine.
@@ -42,6 +51,7 @@
 	loaded        bool
 	backends      map[string]Backend
 	removals      map[string]Removal
+	routeRemovals map[Endpoint]RouteRemoval
 	configuration *Configuration
 	// horizon is the oldest revision since which all removals are remembered.
 	horizon Revision
@@ -49,7 +59,11 @@
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
-	return &Replica{backends: make(map[string]Backend), removals: make(map[string]Removal)}
+	return &Replica{
+		backends:      make(map[string]Backend),
+		removals:      make(map[string]Removal),
+		routeRemovals: make(map[Endpoint]RouteRemoval),
+	}
 }
 
 // Revision returns the revision that the replica has reached.
@@ -68,10 +82,17 @@
 
 // Apply takes a delta in and reports whether anything has changed. Items that are
 // older than what the replica holds are left out, so that deltas may come twice and
-// by several ways.
-func (r *Replica) Apply(delta Delta, now time.Time) bool {
+// by several ways. An error says that an amendment does not fit; nothing of the delta
+// is taken then, and only a full one helps.
+func (r *Replica) Apply(delta Delta, now time.Time) (bool, error) {
 	if !r.Fits(delta) || delta.Full && r.loaded && delta.To < r.revision {
-		return false
+		return false, nil
+	}
+	var amended *Configuration
+	if a := delta.Amendment; a != nil && r.newer(a.Version) {
+		if amended = r.amend(a); amended == nil {
+			return false, fmt.Errorf("state: version %d since revision %d: %w", a.Version, delta.From, ErrDigest)
+		}
 	}
 	changed := !r.loaded
 	if delta.Full {
@@ -90,12 +111,24 @@
 	for index := range delta.Departed {
 		changed = r.depart(delta.Departed[index], now) || changed
 	}
-	if c := delta.Configuration; c != nil && (r.configuration == nil || c.Version > r.configuration.Version) {
-		r.configuration = c
+	if c := delta.Configuration; c != nil && r.newer(c.Version) {
+		r.replace(*c, now)
+		changed = true
+	}
+	if amended != nil {
+		for _, removal := range delta.Amendment.Removed {
+			r.routeRemovals[removal.Listen] = removal
+		}
+		r.install(amended)
 		changed = true
 	}
 	r.revision = max(r.revision, delta.To)
-	return changed
+	return changed, nil
+}
+
+// newer reports whether a version is newer than the one in force.
+func (r *Replica) newer(version Version) bool {
+	return r.configuration == nil || version > r.configuration.Version
 }
 
 func (r *Replica) put(backend Backend) bool {
@@ -155,17 +188,18 @@
 // been forgotten it is everything that is published and all removals.
 func (r *Replica) Since(revision Revision) Delta {
 	delta := Delta{From: revision, To: r.revision, Full: revision < r.horizon}
-	for _, name := range slices.Sorted(maps.Keys(r.backends)) {
-		if backend := r.backends[name]; delta.Full || backend.Revision > revision {
+	for _, backend := range r.backends {
+		if delta.Full || backend.Revision > revision {
 			delta.Backends = append(delta.Backends, backend)
 		}
 	}
-	if c := r.configuration; c != nil && (delta.Full || c.Revision > revision) {
-		delta.Configuration = c
-	}
+	slices.SortFunc(delta.Backends, func(a, b Backend) int { return cmp.Compare(a.Name, b.Name) })
 	if delta.Full {
-		revision = 0
+		delta.Configuration = r.configuration
+		delta.Departed = r.departedSince(0)
+		return delta
 	}
+	delta.Amendment = r.amendmentSince(revision)
 	delta.Departed = r.departedSince(revision)
 	return delta
 }
@@ -178,11 +212,12 @@
 
 func (r *Replica) departedSince(revision Revision) []Removal {
 	var list []Removal
-	for _, name := range slices.Sorted(maps.Keys(r.removals)) {
-		if removal := r.removals[name]; removal.Revision > revision {
+	for _, removal := range r.removals {
+		if removal.Revision > revision {
 			list = append(list, removal)
 		}
 	}
+	slices.SortFunc(list, func(a, b Removal) int { return cmp.Compare(a.Backend.Name, b.Backend.Name) })
 	return list
 }
 
@@ -194,6 +229,7 @@
 			delete(r.removals, name)
 		}
 	}
+	r.forgetRoutes(now)
 }
 
 // Table compiles what traffic needs.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -98,33 +98,3 @@
 	}
 	return tag
 }
-
-// Share is a service's part of a route's new flows.
-type Share struct {
-	Service string
-	Weight  int
-}
-
-// Route is an address that callers use, and where its new flows go.
-type Route struct {
-	Name   string
-	Listen Endpoint
-	Shares []Share
-	// Idempotent routes carry requests that callers repeat after any failure.
-	Idempotent bool
-	// Timeout is the time after which callers give a request up.
-	Timeout time.Duration
-	// Objective is the time within which an answer counts in full.
-	Objective time.Duration
-	// Priority orders routes under overload; 0 is the most important.
-	Priority int
-}
-
-// Configuration is what the operators have published.
-type Configuration struct {
-	Version  Version
-	Revision Revision
-	Routes   []Route
-	// IdleTimeout is the silence after which a flow may be forgotten.
-	IdleTimeout time.Duration
-}
