A balancer that may be the trouble itself judges no backend servers

Change: a silent check counts for a server's death only if the processor is not late, no other balancer reaches the server, and another one finds it silent too; without an answer a single server is dead after two more checks, and servers of several failure domains, the own one among them, never. Peers are asked after the first silent check: one in the server's failure domain, one in the own. Until then the server is Unreachable: no new flows, open ones go on, and where it lasts the balancer is not ready. Refused checks need no second opinion.

Ruled out: a majority of peers (those on the same side of a cut are what counts).

--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -47,12 +47,14 @@
 	version    state.Version
 	// refused balancers get no answer from the store, while others do.
 	refused bool
+	trouble trouble
 	// disturbed is when the balancer was last started, killed or frozen.
 	disturbed time.Time
 }
 
 func (p *Platform) addBalancer(domain string) *Balancer {
 	b := &Balancer{p: p, domain: domain, number: len(p.Balancers), name: fmt.Sprintf("entry-%d", len(p.Balancers)), inRotation: true}
+	b.trouble.rate = p.settings.Link
 	p.Balancers = append(p.Balancers, b)
 	p.after(0, b.rotate)
 	return b
@@ -72,6 +74,7 @@
 	node, err := gossip.New(gossip.Config{
 		Name: b.name, Domain: b.domain, Address: addressOf(b.number), Seeds: p.seeds(),
 		Rand: rand.New(rand.NewPCG(p.random.Uint64(), 1)), Log: discard(), Replica: b.replica,
+		Inquired: b.opine, TakeOpinion: b.core.TakeOpinion,
 		Loads: b.core.Loads, TakeLoads: b.core.TakeLoads, Confirmed: b.core.Confirm,
 		Changed: func(_ string, now time.Time) { b.changed(now) },
 	})
@@ -125,7 +128,7 @@
 	b.p.after(linger, b.Start)
 }
 
-func (b *Balancer) works() bool { return b.alive && !b.frozen }
+func (b *Balancer) works() bool { return b.alive && !b.frozen && !b.trouble.late }
 
 func (b *Balancer) ready() bool {
 	return b.works() && !b.leaving && b.replica.Loaded() && b.core.Reachable()
@@ -148,7 +151,7 @@
 		return
 	}
 	b.p.after(tagged.TickPeriod, func() { b.tick(life) })
-	if b.frozen {
+	if !b.works() {
 		return
 	}
 	now := time.Now()
@@ -161,7 +164,7 @@
 
 func (b *Balancer) sendResets(resets []tagged.Reset) {
 	for _, reset := range resets {
-		b.p.reset(b, reset, "without being asked")
+		b.out(resetBytes, func() { b.p.reset(b, reset, "without being asked") })
 	}
 }
 
@@ -207,14 +210,46 @@
 }
 
 func (b *Balancer) check(check tagged.Check, life int) {
-	result, delay := b.p.listens(b, check)
-	b.p.after(delay, func() {
+	b.dial(check, func(result health.Result) {
 		if b.life == life && b.works() {
 			b.sendResets(b.core.Checked(check.Backend, result, time.Now()))
+			b.send(b.node.Inquire(b.core.TakeInquiries()))
 		}
 	})
 }
 
+// dial opens a connection to a backend server's address. What finds no answer in time is
+// silent.
+func (b *Balancer) dial(check tagged.Check, done func(health.Result)) {
+	ended := false
+	end := func(result health.Result) {
+		if !ended {
+			ended = true
+			done(result)
+		}
+	}
+	b.p.after(checkTime, func() { end(health.Silent) })
+	b.out(checkBytes, func() {
+		if result, delay := b.p.listens(b, check); result != health.Silent {
+			b.p.after(delay, func() { end(result) })
+		}
+	})
+}
+
+// opine answers another balancer that asks whether servers are reached from here.
+func (b *Balancer) opine(from netip.AddrPort, tags []state.Tag, now time.Time) {
+	opinion, checks := b.core.Opine(tags, now)
+	b.send(b.node.Opinion(from, opinion))
+	life := b.life
+	for _, check := range checks {
+		b.dial(check, func(result health.Result) {
+			if b.life == life && b.works() {
+				b.send(b.node.Opinion(from, b.core.Observed(check, result, time.Now())))
+			}
+		})
+	}
+}
+
 // listens returns what a connection to a backend server's address finds.
 func (p *Platform) listens(b *Balancer, check tagged.Check) (health.Result, time.Duration) {
 	for _, s := range p.Servers {
@@ -233,7 +268,9 @@
 	for _, message := range messages {
 		for _, to := range b.p.Balancers {
 			if addressOf(to.number) == message.To {
-				b.p.carry(b.domain, to.domain, func() { to.receive(message.Data, b.number) })
+				b.out(len(message.Data), func() {
+					b.p.carry(b.domain, to.domain, func() { to.receive(message.Data, b.number) })
+				})
 			}
 		}
 	}
@@ -258,11 +295,15 @@
 	verdict := b.core.Packet(&packet, time.Now())
 	switch verdict.Action {
 	case tagged.Refuse:
-		b.p.reset(b, tagged.Reset{Key: packet.Key, Sequence: packet.Acknowledged}, "in answer to a packet")
+		b.out(resetBytes, func() {
+			b.p.reset(b, tagged.Reset{Key: packet.Key, Sequence: packet.Acknowledged}, "in answer to a packet")
+		})
 	case tagged.Forward:
 		for _, s := range b.p.Servers {
 			if s.backend.Address == verdict.To {
-				b.p.carry(b.domain, s.backend.Domain, func() { s.receive(b, f, packet, verdict, data) })
+				b.out(headBytes+packet.Length, func() {
+					b.p.carry(b.domain, s.backend.Domain, func() { s.receive(b, f, packet, verdict, data) })
+				})
 			}
 		}
 	}
@@ -275,3 +316,16 @@
 	}
 	return list
 }
+
+// KnownDead returns how many balancers take a server for dead.
+func (p *Platform) KnownDead(s *Server) int {
+	count := 0
+	for _, b := range p.Balancers {
+		for _, status := range b.core.Backends() {
+			if status.Backend == s.backend.Name && status.Health == health.Dead {
+				count++
+			}
+		}
+	}
+	return count
+}
--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -37,6 +37,8 @@
 	Policy policy.Policy
 	// Loss is the share of packets that are lost.
 	Loss float64
+	// Link is what a balancer's link carries in bytes a second, 0 for any number.
+	Link float64
 }
 
 // Service is a set of alike backend servers.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,7 +21,6 @@
 	"github.com/go-logr/logr"
 
 	"wigeonmoor.example/internal/gossip"
-	"wigeonmoor.example/internal/health"
 	"wigeonmoor.example/internal/setup"
 	"wigeonmoor.example/internal/source"
 	"wigeonmoor.example/internal/state"
@@ -39,10 +38,6 @@
 	// the others, who then need not.
 	staleSpread     = 400 * time.Millisecond
 	staleSpreadEach = 2 * time.Millisecond
-	// checkLimit is the time in which a backend server's instance must accept a
-	// connection. Round trips are up to 3 ms between failure domains, and a balancer
-	// may stand still for a tenth of a second when its processor quota is used up.
-	checkLimit = 150 * time.Millisecond
 	// startLimit is how long a starting balancer waits for the newest view before it
 	// is ready with what peers have told.
 	startLimit = 1500 * time.Millisecond
@@ -172,7 +167,11 @@
 		BulkRate:  bulkRate(settings.Link),
 		Loads:     e.core.Loads,
 		TakeLoads: e.core.TakeLoads,
-		Changed:   e.changed,
+		Inquired: func(from netip.AddrPort, tags []state.Tag, now time.Time) {
+			e.opine(ctx, from, tags, now)
+		},
+		TakeOpinion: e.core.TakeOpinion,
+		Changed:     e.changed,
 		Confirmed: func(at time.Time) {
 			e.core.Confirm(at)
 			e.confirmed.Store(int64(at.Sub(e.started)))
@@ -337,6 +336,7 @@
 	for _, check := range e.core.Tick(now) {
 		e.startCheck(ctx, check)
 	}
+	e.inquire()
 	e.review(now)
 }
 
@@ -350,24 +350,6 @@
 	}
 }
 
-// startCheck opens a connection to a backend server to see whether it lives.
-func (e *Entry) startCheck(ctx context.Context, check tagged.Check) {
-	go func() {
-		dialer := net.Dialer{Timeout: checkLimit}
-		conn, err := dialer.DialContext(ctx, "tcp4", check.Address.String())
-		result := health.Answered
-		switch {
-		case err == nil:
-			_ = conn.Close()
-		case errors.Is(err, errRefused):
-			result = health.Refused
-		default:
-			result = health.Silent
-		}
-		e.sendResets(e.core.Checked(check.Backend, result, time.Now()))
-	}()
-}
-
 func (e *Entry) send(messages []gossip.Message) {
 	for _, message := range messages {
 		if _, err := e.peer.WriteToUDPAddrPort(message.Data, message.To); err != nil && !errors.Is(err, net.ErrClosed) {
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -4,16 +4,12 @@
 	"errors"
 	"net"
 	"net/netip"
-	"syscall"
 	"time"
 
 	"wigeonmoor.example/internal/state"
 	"wigeonmoor.example/internal/tagged"
 )
 
-// errRefused is what a connection gets where nothing listens.
-var errRefused = syscall.ECONNREFUSED
-
 // maxPacketBytes holds the largest packet of callers with room to spare.
 const maxPacketBytes = 2048
 
--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -25,6 +25,8 @@
 			Name: fmt.Sprintf("entry-%d", number), Domain: fmt.Sprintf("domain-%d", number%9), Address: addressOf(number),
 			Rand: rand.New(rand.NewPCG(uint64(number), 1)), Log: logr.Discard(), Replica: state.NewReplica(),
 			Changed: func(string, time.Time) {}, Confirmed: func(time.Time) {},
+			Inquired:    func(netip.AddrPort, []state.Tag, time.Time) {},
+			TakeOpinion: func(string, tagged.Opinion, time.Time) {},
 			Loads: func(list []tagged.Load) []tagged.Load {
 				for tag := range 40 {
 					list = append(list, tagged.Load{Tag: state.Tag(tag + 1), Busy: 2, Open: 9})
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -79,6 +79,10 @@
 	Loads func([]tagged.Load) []tagged.Load
 	// TakeLoads gets a peer's load.
 	TakeLoads func(peer string, loads []tagged.Load, now time.Time)
+	// Inquired is called when a peer asks whether backend servers are reached from here;
+	// the answer is made with Opinion. TakeOpinion gets a peer's answer.
+	Inquired    func(from netip.AddrPort, tags []state.Tag, now time.Time)
+	TakeOpinion func(peer string, opinion tagged.Opinion, now time.Time)
 	// Changed is called after the replica has changed.
 	Changed func(source string, now time.Time)
 	// Confirmed is called with a time at which the replica was the newest.
@@ -288,6 +292,10 @@
 	case *wire.Exchange_Part:
 		err := n.takePart(body.Part, from, now)
 		return n.out, err
+	case *wire.Exchange_Inquiry:
+		n.settings.Inquired(from, tagsOf(body.Inquiry.Tags), now)
+	case *wire.Exchange_Opinion:
+		n.settings.TakeOpinion(from.String(), decodeOpinion(body.Opinion), now)
 	default:
 		return nil, fmt.Errorf("gossip: datagram of %s has no body", from)
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -114,7 +114,9 @@
 				n.version = c.Version
 			}
 		},
-		Confirmed: func(time.Time) {},
+		Confirmed:   func(time.Time) {},
+		Inquired:    func(netip.AddrPort, []state.Tag, time.Time) {},
+		TakeOpinion: func(string, tagged.Opinion, time.Time) {},
 	})
 	if err != nil {
 		panic(err)
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -5,6 +5,10 @@
 // of life since the first strike withdraws both. Passive signs alone were rejected: a
 // lossy link gives them of live servers, and flows of a dead server are reset. Active
 // checks alone were rejected: they cost a connection each, all the time.
+//
+// A check without any answer may also mean that the balancer's own link or processor is
+// the trouble. The caller says so, and the server is only unreachable then: it gets no
+// new flows, and keeps those it has.
 package health
 
 import "time"
@@ -16,7 +20,9 @@
 const (
 	Alive     State = "Alive"
 	Suspected State = "Suspected"
-	Dead      State = "Dead"
+	// Unreachable servers do not answer here, but may well live.
+	Unreachable State = "Unreachable"
+	Dead        State = "Dead"
 )
 
 // Result is the outcome of an active check.
@@ -37,6 +43,9 @@
 	// checkPause lies between two checks of a suspected server, so that one burst of
 	// lost packets does not fail both.
 	checkPause = 50 * time.Millisecond
+	// unreachablePause lies between two checks of an unreachable server: what kept the
+	// balancer from judging it may be over.
+	unreachablePause = 200 * time.Millisecond
 	// deadPause lies between two checks of a dead server, to find its return.
 	deadPause = 700 * time.Millisecond
 	// calmSpan is how long a server that answered a check stays suspected without a
@@ -124,9 +133,22 @@
 	return true
 }
 
-// Checked takes the outcome of a check in. It returns true if the server is dead
-// from now on.
-func (h *Health) Checked(result Result, now time.Time) bool {
+// Failures returns how many checks in a row have failed since the server was suspected.
+func (h *Health) Failures() int { return h.failures }
+
+// Vouch takes in that another balancer reaches the server. It returns true if the server
+// is no longer dead.
+func (h *Health) Vouch() bool {
+	if h.state != Dead || h.certain {
+		return false
+	}
+	h.state = Unreachable
+	return true
+}
+
+// Checked takes the outcome of a check in. It returns true if the server is dead from
+// now on. With doubt set, a silent check may be due to this balancer.
+func (h *Health) Checked(result Result, doubt bool, now time.Time) bool {
 	h.checking = false
 	if result == Answered {
 		if h.State() != Alive {
@@ -149,6 +171,11 @@
 	if h.failures < failuresToDie {
 		return false
 	}
+	if doubt && result != Refused {
+		h.state = Unreachable
+		h.nextCheck = now.Add(unreachablePause)
+		return false
+	}
 	h.state, h.certain, h.since = Dead, result == Refused, now
 	h.nextCheck = now.Add(deadPause)
 	return true
--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -94,6 +94,7 @@
 	peers      map[string]peerLoad
 	classes    map[state.Endpoint]*class
 	domains    map[string]*domain
+	judge      judge
 	openShare  float64
 	choices    []policy.Candidate
 	options    []*target
@@ -109,6 +110,8 @@
 	DroppedStaleRoute, DroppedMalformed          Counter
 	DroppedUnsent, DroppedUnread, DroppedBusy    Counter
 	Resets, Suspected, Died, Returned, Restarted Counter
+	// Vouched counts servers that were taken for dead while others reached them.
+	Vouched Counter
 }
 
 // Counter counts one kind of decision.
@@ -122,6 +125,9 @@
 	// of what the others have told.
 	busy, open         int
 	peerBusy, peerOpen int
+	// silentAt is when a check found no answer, vouchedAt and confirmedAt when another
+	// balancer said that it reaches the server or that it does not either.
+	silentAt, vouchedAt, confirmedAt time.Time
 }
 
 // dead reports whether the server's flows are lost.
@@ -201,6 +207,7 @@
 	c.list = make([]*target, 0, len(table.Entries()))
 	c.placeable = make(map[string][]*target)
 	c.reachStale = true
+	c.judge.nearby = false
 	clear(c.byTag)
 	for _, entry := range table.Entries() {
 		t := before[entry.Name]
@@ -213,6 +220,7 @@
 		if entry.Published() && entry.Standing == state.Serving && !entry.Shadowed {
 			c.placeable[entry.Service] = append(c.placeable[entry.Service], t)
 		}
+		c.judge.nearby = c.judge.nearby || entry.Published() && entry.Domain == c.settings.Domain
 		if !entry.Shadowed {
 			c.byTag[entry.Tag] = t
 		}
--- a/internal/tagged/load.go
+++ b/internal/tagged/load.go
@@ -88,7 +88,8 @@
 	served := make(map[string]bool)
 	for _, t := range c.list {
 		if t.entry.Published() {
-			served[t.entry.Service] = served[t.entry.Service] || !t.dead()
+			reached := !t.dead() && t.health.State() != health.Unreachable
+			served[t.entry.Service] = served[t.entry.Service] || reached
 		}
 	}
 	reachable := 0
--- a/internal/tagged/sweep.go
+++ b/internal/tagged/sweep.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"wigeonmoor.example/internal/health"
+	"wigeonmoor.example/internal/state"
 )
 
 // Check asks for an active check of a backend server.
 type Check struct {
 	Backend string
 	Address netip.AddrPort
+	Tag     state.Tag
 }
 
 // shareGain is the weight of one tick in the mean share of busy flows, which settles
@@ -41,12 +43,13 @@
 	if open > 0 {
 		c.openShare += (float64(busy)/float64(open) - c.openShare) * shareGain
 	}
+	c.watchSelf(now)
 	for t := range c.suspects {
 		switch {
 		case t.health.State() == health.Alive:
 			delete(c.suspects, t)
 		case !t.entry.Replaced && t.health.NeedsCheck(now):
-			c.checks = append(c.checks, Check{Backend: t.entry.Name, Address: t.entry.Address})
+			c.checks = append(c.checks, Check{Backend: t.entry.Name, Address: t.entry.Address, Tag: t.entry.Tag})
 		}
 	}
 	c.forgetPeers(now)
@@ -128,7 +131,15 @@
 	}
 	before := t.health.State()
 	c.reachStale = true
-	if t.health.Checked(result, now) {
+	died := t.health.Checked(result, c.doubts(t, now), now)
+	if result == health.Silent {
+		c.inquire(t, now)
+	}
+	if t.health.State() == health.Unreachable && before != health.Unreachable {
+		c.settings.Log.Info("tagged: backend server is unreachable from here", "Backend", backend, "SinceSign", sinceSign(t, now),
+			"Vouched", now.Sub(t.vouchedAt) < opinionLife, "Doubt", c.judge.doubtful)
+	}
+	if died {
 		c.Counters.Died.Add(1)
 		c.settings.Log.Info("tagged: backend server is dead", "Backend", backend, "Check", result, "SinceSign", sinceSign(t, now))
 		c.resetFlows(t, "backend server is dead", t.certain())
