Balancers talk mostly within their failure domain, in brief, and ask for members they lack

Change: three of four balancers told in a round are of the own failure domain; heartbeats of those that are known are 16 bytes; the two readers, whose news is for all, tell eight. Members told in full by chance leave gaps for long, so whoever hears of one that it does not know asks the teller, and whoever knows fewer than the teller sends it a list. That takes the place of helping newcomers.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -38,6 +38,9 @@
 	Period = 200 * time.Millisecond
 	// fanout is the number of balancers told in each round.
 	fanout = 4
+	// readerFanout is the same for the two readers: what they know is news to all, and
+	// their heartbeats are to reach all of a large fleet within deadSpan.
+	readerFanout = 8
 	// membersTold bounds the heartbeats in a datagram, so that its size does not
 	// grow with the fleet.
 	membersTold = 13
@@ -48,14 +51,6 @@
 	// seedHurry while nobody is known at all.
 	seedPeriod = 2 * time.Second
 	seedHurry  = 100 * time.Millisecond
-	// helpBeats is how many rounds a newcomer is helped to know everybody, 10 s, and
-	// helperBeats how many a helper has lived, 2 s; helpPause lies between two such
-	// answers of one balancer, and membersHelped bounds each, so that it is hardly larger
-	// than what a round sends.
-	helpBeats     = 50
-	helperBeats   = 10
-	helpPause     = 100 * time.Millisecond
-	membersHelped = 20
 	// departedSources is how many peers tell a newcomer of departed backend servers: some
 	// of them may have just started, too.
 	departedSources = 3
@@ -103,12 +98,10 @@
 	confirmed time.Time
 	nextRound time.Time
 	nextSeeds time.Time
-	nextHelp  time.Time
+	who       who
 	desk      desk
 	// view is what is fetched of changes, departed of backend servers that have left.
 	view, departed fetch
-	// helped counts newcomers helped since the last round, which is smaller for it.
-	helped int
 	// departedAnswers counts the peers that have told of departed backend servers.
 	departedAnswers int
 	loads           []tagged.Load
@@ -123,7 +116,7 @@
 	if !ok {
 		return nil, fmt.Errorf("gossip: listen on %s: the address is not IPv4", settings.Address)
 	}
-	n := &Node{settings: settings, roster: roster{named: make(map[string]*member)}}
+	n := &Node{settings: settings, roster: roster{named: make(map[string]*member), short: make(map[uint32]*member)}}
 	n.desk.rate = cmp.Or(settings.BulkRate, DefaultBulkRate)
 	// The time of day may jump, so that lives are told apart by a random number.
 	n.self = wire.Member{
@@ -209,8 +202,7 @@
 func (n *Node) round(now time.Time) {
 	n.self.Beat++
 	n.chooseReaders(now)
-	targets := n.pickTargets(fanout - n.helped)
-	n.helped = 0
+	targets := n.pickTargets(n.width())
 	if len(targets) == 0 {
 		return
 	}
@@ -220,6 +212,14 @@
 	}
 }
 
+// width returns how many members a round tells.
+func (n *Node) width() int {
+	if n.isReader(&n.self) {
+		return readerFanout
+	}
+	return fanout
+}
+
 func (n *Node) tellSeeds(now time.Time) {
 	live := n.roster.live
 	pause := seedPeriod
@@ -287,6 +287,8 @@
 	switch body := exchange.Body.(type) {
 	case *wire.Exchange_Gossip:
 		n.takeGossip(body.Gossip, from, now)
+	case *wire.Exchange_Who:
+		n.introduce(body.Who, from, now)
 	case *wire.Exchange_Want:
 		n.answer(body.Want, from, now)
 	case *wire.Exchange_Part:
@@ -307,6 +309,7 @@
 	if sender == nil || sender.Name == "" || sender.Name == n.self.Name {
 		return
 	}
+	n.who.unknown = n.who.unknown[:0]
 	newcomer := n.hear(sender, true, now)
 	for _, other := range message.Members {
 		n.hear(other, false, now)
@@ -314,7 +317,7 @@
 	if newcomer {
 		n.out = append(n.out, Message{To: from, Data: n.gossip(n.tell(), now)})
 	}
-	n.helpNewcomer(message, from, now)
+	n.askWho(message, from, now)
 	if !message.WithoutLoads {
 		n.takeLoads(message, now)
 	}
@@ -322,23 +325,6 @@
 	n.learnDeparted(message, from, now)
 }
 
-// helpNewcomer tells a balancer that has just started, and knows fewer members, of more
-// of them than a round does. Those who know few themselves help nobody: when a whole fleet
-// starts, all would.
-func (n *Node) helpNewcomer(told *wire.Gossip, from netip.AddrPort, now time.Time) {
-	if n.self.Beat <= helperBeats || told.Sender.Beat > helpBeats || int(told.Live) >= n.Count() || now.Before(n.nextHelp) {
-		return
-	}
-	n.nextHelp = now.Add(helpPause)
-	n.helped = min(n.helped+1, fanout-1)
-	message := n.greeting(now)
-	message.WithoutLoads = true
-	for _, m := range n.draw(membersHelped) {
-		message.Members = append(message.Members, m.told)
-	}
-	n.out = append(n.out, Message{To: from, Data: n.marshal(&wire.Exchange{Body: &wire.Exchange_Gossip{Gossip: message}})})
-}
-
 func (n *Node) takeLoads(message *wire.Gossip, now time.Time) {
 	count := min(len(message.Tags), len(message.Busy), len(message.Open))
 	loads := make([]tagged.Load, count)
--- a/internal/gossip/member.go
+++ b/internal/gossip/member.go
@@ -25,6 +25,13 @@
 	revisitChance = 0.2
 	// retiredKept is how many earlier lives of a member are remembered.
 	retiredKept = 4
+	// nearTargets is how many of those told in a round are of the own failure domain, and
+	// drawnEach how many are drawn for each to be told, to find some on either side.
+	nearTargets = 3
+	drawnEach   = 8
+	// fullTold is how many members a datagram tells in full besides newcomers. Who asks
+	// gets them in full.
+	fullTold = 1
 	// expirePeriod is how often members are looked at for silence.
 	expirePeriod = 250 * time.Millisecond
 	// freshTold is how often a newcomer is told beside its turn: each of those who hear of
@@ -34,7 +41,9 @@
 
 // member is what is known of another balancer.
 type member struct {
-	told    *wire.Member
+	told *wire.Member
+	// brief is the same for receivers that know the balancer.
+	brief   *wire.Member
 	address netip.AddrPort
 	heard   time.Time
 	alive   bool
@@ -51,6 +60,8 @@
 // more than a thousand.
 type roster struct {
 	named map[string]*member
+	// short finds members by the hash in brief heartbeats.
+	short map[uint32]*member
 	// live has the live members in no order, queue all members in the order in which
 	// they are told, and fresh the newcomers among them.
 	live, queue, fresh []*member
@@ -66,7 +77,9 @@
 // add enters a newcomer, which is told before all others.
 func (r *roster) add(m *member) {
 	m.rank = rank(m.told.Name)
+	m.brief = &wire.Member{Short: uint32(m.rank)}
 	r.named[m.told.Name] = m
+	r.short[m.brief.Short] = m
 	r.queue = append(r.queue, m)
 	r.renew(m)
 	if m.alive {
@@ -103,6 +116,7 @@
 func (r *roster) forget(m *member) {
 	r.setAlive(m, false)
 	delete(r.named, m.told.Name)
+	delete(r.short, m.brief.Short)
 	same := func(other *member) bool { return other == m }
 	r.queue, r.fresh = slices.DeleteFunc(r.queue, same), slices.DeleteFunc(r.fresh, same)
 }
@@ -111,7 +125,11 @@
 // one, that was not known. Only the balancer itself is believed at once when it tells
 // of a new life: relayed heartbeats of its last life may still be around.
 func (n *Node) hear(told *wire.Member, direct bool, now time.Time) bool {
-	if told.Name == "" || told.Name == n.self.Name {
+	if told.Name == "" {
+		n.hearBrief(told, now)
+		return false
+	}
+	if told.Name == n.self.Name {
 		return false
 	}
 	known := n.roster.named[told.Name]
@@ -139,19 +157,31 @@
 	return true
 }
 
+// hearBrief takes a brief heartbeat in, if it is of a balancer that is known.
+func (n *Node) hearBrief(told *wire.Member, now time.Time) {
+	known := n.roster.short[told.Short]
+	switch {
+	case told.Short == uint32(rank(n.self.Name)):
+	case known == nil:
+		n.who.unknown = append(n.who.unknown, told.Short)
+	case uint32(known.told.Incarnation) == told.Life:
+		n.heartbeat(known, told, now)
+	}
+}
+
 func (n *Node) heartbeat(known *member, told *wire.Member, now time.Time) {
 	if told.Beat <= known.told.Beat {
 		return
 	}
 	if told.Leaving && !known.told.Leaving {
-		n.settings.Log.Info("gossip: member is leaving", "Member", told.Name)
+		n.settings.Log.Info("gossip: member is leaving", "Member", known.told.Name)
 	}
 	if !known.alive && !told.Leaving {
-		n.settings.Log.Info("gossip: member is back", "Member", told.Name, "Silent", now.Sub(known.heard).String())
+		n.settings.Log.Info("gossip: member is back", "Member", known.told.Name, "Silent", now.Sub(known.heard).String())
 	}
-	// The readers are known by what they told last.
-	n.roster.stale = n.roster.stale || told.Blind != known.told.Blind || n.isReader(known.told)
-	known.told, known.heard = told, now
+	n.roster.stale = n.roster.stale || told.Blind != known.told.Blind
+	known.told.Beat, known.told.Leaving, known.told.Blind = told.Beat, told.Leaving, told.Blind
+	known.heard = now
 	n.roster.setAlive(known, !told.Leaving)
 }
 
@@ -198,12 +228,21 @@
 // Count returns how many members are alive, this balancer included.
 func (n *Node) Count() int { return len(n.roster.live) + 1 }
 
-// pickTargets draws the members that are told in a round.
+// pickTargets draws the members that are told in a round: most of them in the own failure
+// domain, whose backend servers this balancer uses most, and whose links cost nothing;
+// the others carry news on.
 func (n *Node) pickTargets(count int) []netip.AddrPort {
-	var targets []netip.AddrPort
-	for _, m := range n.draw(count) {
-		targets = append(targets, m.address)
+	var targets, elsewhere []netip.AddrPort
+	near := min(nearTargets, count-1)
+	for _, m := range n.draw(count * drawnEach) {
+		switch {
+		case m.told.Domain == n.self.Domain && len(targets) < near:
+			targets = append(targets, m.address)
+		case m.told.Domain != n.self.Domain:
+			elsewhere = append(elsewhere, m.address)
+		}
 	}
+	targets = append(targets, elsewhere[:min(len(elsewhere), count-len(targets))]...)
 	if n.settings.Rand.Float64() >= revisitChance {
 		return targets
 	}
@@ -234,16 +273,21 @@
 
 // tell returns some of the heartbeats known: the readers', so that even in a large fleet
 // they are heard of well within deadSpan, then newcomers' and all in turn, so that
-// newcomers become known soon.
+// newcomers become known soon. Newcomers and a few of the others are told in full, the
+// others in brief.
 func (n *Node) tell() []*wire.Member {
 	told := make([]*wire.Member, 0, membersTold)
 	for _, reader := range []*wire.Member{n.roster.first, n.roster.second} {
-		if reader != nil && reader != &n.self {
-			told = append(told, reader)
+		if reader == nil || reader == &n.self {
+			continue
+		}
+		if m := n.roster.named[reader.Name]; m != nil && m.alive {
+			told = append(told, m.inBrief())
 		}
 	}
 	told = n.roster.tellFresh(told, membersTold/2)
-	return n.roster.tellInTurn(told, membersTold)
+	told = n.roster.tellInTurn(told, min(len(told)+fullTold, membersTold), (*member).inFull)
+	return n.roster.tellInTurn(told, membersTold, (*member).inBrief)
 }
 
 // tellFresh takes newcomers from the front of their queue until so many are told. Those
@@ -252,7 +296,9 @@
 	for left := len(r.fresh); left > 0 && len(told) < count; left-- {
 		m := r.fresh[0]
 		r.fresh = r.fresh[1:]
-		told = m.appendTo(told)
+		if m.alive {
+			told = append(told, m.told)
+		}
 		if m.freshLeft--; m.freshLeft > 0 {
 			r.fresh = append(r.fresh, m)
 		}
@@ -262,21 +308,23 @@
 
 // tellInTurn takes members from the front of the queue until so many are told, and puts
 // them at its end.
-func (r *roster) tellInTurn(told []*wire.Member, count int) []*wire.Member {
+func (r *roster) tellInTurn(told []*wire.Member, count int, form func(*member) *wire.Member) []*wire.Member {
 	for left := len(r.queue); left > 0 && len(told) < count; left-- {
 		m := r.queue[0]
 		r.queue = append(r.queue[1:], m)
-		told = m.appendTo(told)
+		if m.alive && !slices.Contains(told, m.told) && !slices.Contains(told, m.brief) {
+			told = append(told, form(m))
+		}
 	}
 	return told
 }
 
-// appendTo adds a member to those told, if it lives and is not among them.
-func (m *member) appendTo(told []*wire.Member) []*wire.Member {
-	if !m.alive || slices.Contains(told, m.told) {
-		return told
-	}
-	return append(told, m.told)
+func (m *member) inFull() *wire.Member { return m.told }
+
+func (m *member) inBrief() *wire.Member {
+	m.brief.Life = uint32(m.told.Incarnation)
+	m.brief.Beat, m.brief.Leaving, m.brief.Blind = m.told.Beat, m.told.Leaving, m.told.Blind
+	return m.brief
 }
 
 // Reader reports whether this balancer is one of the two that read the platform for
