--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,6 +38,13 @@
 	// the others, who then need not.
 	staleSpread     = 400 * time.Millisecond
 	staleSpreadEach = 2 * time.Millisecond
+	// aloneWait is how long a balancer that starts waits to hear of a peer with a view
+	// before it reads the platform: some round trips, and a datagram that is lost.
+	// othersWait is the same for one that knows of others that are to read, and fedWait
+	// the time in which a peer that has begun must have sent its view.
+	aloneWait  = 40 * time.Millisecond
+	othersWait = 200 * time.Millisecond
+	fedWait    = 500 * time.Millisecond
 	// startLimit is how long a starting balancer waits for the newest view before it
 	// is ready with what peers have told.
 	startLimit = 1500 * time.Millisecond
@@ -97,8 +104,10 @@
 	confirmed atomic.Int64
 	reached   atomic.Uint64
 	loaded    atomic.Bool
-	members   atomic.Int64
-	dropped   atomic.Int64
+	// fed is set while a peer sends its view to a balancer that has none.
+	fed     atomic.Bool
+	members atomic.Int64
+	dropped atomic.Int64
 }
 
 // Run serves until SIGTERM and then until its callers have gone elsewhere. SIGHUP
@@ -246,7 +255,9 @@
 // need says how this balancer is to read the platform now.
 func (e *Entry) need() source.Need {
 	switch {
-	case e.reader.Load() || !e.loaded.Load():
+	case !e.loaded.Load():
+		return e.firstNeed(time.Since(e.started))
+	case e.reader.Load():
 		return source.Follow
 	case e.age() > e.staleAfter():
 		return source.Glance
@@ -254,6 +265,23 @@
 	return source.Nothing
 }
 
+// firstNeed says how a balancer is to read that knows nothing yet. In a fleet that runs
+// peers feed it within a few round trips, and the platform is spared a call. Where nobody
+// does, as all have just started, those that would read for the fleet do so first.
+func (e *Entry) firstNeed(uptime time.Duration) source.Need {
+	wait := aloneWait
+	switch {
+	case e.fed.Load():
+		wait = fedWait
+	case !e.reader.Load():
+		wait = othersWait
+	}
+	if uptime < wait {
+		return source.Soon
+	}
+	return source.Follow
+}
+
 // staleAfter returns the age of the view at which this balancer asks the platform itself.
 func (e *Entry) staleAfter() time.Duration {
 	spread := staleSpread + time.Duration(e.members.Load())*staleSpreadEach
@@ -308,6 +336,7 @@
 func (e *Entry) control(ctx context.Context) {
 	ticker := time.NewTicker(tagged.TickPeriod)
 	defer ticker.Stop()
+	e.tick(ctx) // seeds are asked at once
 	for {
 		select {
 		case <-ctx.Done():
@@ -385,6 +414,10 @@
 		e.log.Info("gossip: datagram refused", "Problem", err.Error())
 	}
 	e.send(messages)
+	if !e.loaded.Load() {
+		e.reader.Store(e.node.Reader(time.Now()))
+		e.fed.Store(e.node.Fetching())
+	}
 }
 
 // reload takes over what may change without a restart.
--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -132,6 +132,9 @@
 	return f.transfer.id.to
 }
 
+// Fetching reports whether a peer that knows more has been asked.
+func (n *Node) Fetching() bool { return len(n.view.sources) > 0 || n.view.transfer != nil }
+
 // reached returns the revision to ask from: 0 for everything.
 func (n *Node) reached() state.Revision {
 	if !n.settings.Replica.Loaded() || n.view.whole {
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -42,6 +42,9 @@
 	changePause = 200 * time.Millisecond
 	// idlePause is how often a balancer that does not read looks whether it must.
 	idlePause = 100 * time.Millisecond
+	// soonPause is the same while a balancer that starts waits for its peers, a few round
+	// trips between failure domains.
+	soonPause = 10 * time.Millisecond
 )
 
 // Need says how a balancer is to read.
@@ -51,6 +54,8 @@
 const (
 	// Nothing: peers feed this balancer.
 	Nothing Need = "Nothing"
+	// Soon: nothing yet, as peers may be about to feed this balancer for the first time.
+	Soon Need = "Soon"
 	// Glance: ask once whether there is news.
 	Glance Need = "Glance"
 	// Follow: keep a watch open.
@@ -105,9 +110,13 @@
 	pause := retryFirst
 	for ctx.Err() == nil {
 		need := f.settings.Need()
-		if need == Nothing {
+		switch need {
+		case Nothing:
 			sleep(ctx, idlePause)
 			continue
+		case Soon:
+			sleep(ctx, soonPause)
+			continue
 		}
 		since, _ := f.settings.Since()
 		reading, err := f.call(ctx, need)
