--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -318,15 +318,19 @@
 	return list
 }
 
-// KnownDead returns how many balancers take a server for dead.
-func (p *Platform) KnownDead(s *Server) int {
-	count := 0
+// Believed returns how many balancers take a server for dead, and how many others have
+// flows open there.
+func (p *Platform) Believed(s *Server) (dead, unaware int) {
 	for _, b := range p.Balancers {
 		for _, status := range b.core.Backends() {
-			if status.Backend == s.backend.Name && status.Health == health.Dead {
-				count++
+			switch {
+			case status.Backend != s.backend.Name:
+			case status.Health == health.Dead:
+				dead++
+			case status.Open > 0:
+				unaware++
 			}
 		}
 	}
-	return count
+	return dead, unaware
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,6 +38,9 @@
 	// the others, who then need not.
 	staleSpread     = 400 * time.Millisecond
 	staleSpreadEach = 2 * time.Millisecond
+	// failedPauseEach, for each member, lies between two glances at a platform that is
+	// away: 20 a second of the whole fleet.
+	failedPauseEach = 50 * time.Millisecond
 	// aloneWait is how long a balancer that starts waits to hear of a peer with a view
 	// before it reads the platform: a round trip, and the time of a busy peer.
 	// othersWait is the same for one that knows of others that are to read, and fedWait
@@ -241,7 +244,8 @@
 		Take: func(reading source.Reading) {
 			e.do(func() { e.take(reading) })
 		},
-		Called: func(span time.Duration) { e.meters.call.Update(span.Seconds()) },
+		FailedPause: func() time.Duration { return time.Duration(e.members.Load()) * failedPauseEach },
+		Called:      func(span time.Duration) { e.meters.call.Update(span.Seconds()) },
 		Failed: func(err error) {
 			e.log.Info("source: platform lost", "Problem", err.Error())
 			e.do(func() { e.send(e.node.SetBlind(true, time.Now())) })
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -85,6 +85,8 @@
 	// Since returns the revision reached, false if nothing has been read yet.
 	Since func() (state.Revision, bool)
 	Take  func(Reading)
+	// FailedPause, if set, says how long to wait after a glance that failed.
+	FailedPause func() time.Duration
 	// Called, if set, gets the time of each call that did not wait for changes.
 	Called func(time.Duration)
 	// Failed and Regained tell of the platform getting out of reach and back.
@@ -138,11 +140,27 @@
 			pause = min(2*pause, retryMost)
 		}
 		if need == Glance {
-			sleep(ctx, vary(glancePause))
+			f.rest(ctx, vary(f.glancePause(err)))
 		}
 	}
 }
 
+// glancePause returns the time until a balancer that does not read for the fleet asks
+// again. While the platform is away the whole fleet would, and the readers ask anyway.
+func (f *Follower) glancePause(err error) time.Duration {
+	if err == nil || f.settings.FailedPause == nil {
+		return glancePause
+	}
+	return max(glancePause, f.settings.FailedPause())
+}
+
+// rest sleeps for a span, or until more than a glance is needed.
+func (f *Follower) rest(ctx context.Context, span time.Duration) {
+	for end := time.Now().Add(span); time.Now().Before(end) && f.settings.Need() != Follow && ctx.Err() == nil; {
+		sleep(ctx, min(idlePause, time.Until(end)))
+	}
+}
+
 // vary returns a span that differs by up to a half, so that balancers do not call at
 // the same time.
 func vary(span time.Duration) time.Duration {
