--- a/wigeonlab/internal/proxy/datagram.go
+++ b/wigeonlab/internal/proxy/datagram.go
@@ -54,7 +54,7 @@
 	receive(d.conn, func(from netip.AddrPort, data []byte) {
 		harm := d.link.harm(from.Addr())
 		if !harm.SilentForward {
-			harm.pass(func() { d.send(from, data) })
+			harm.pass(d.link, len(data), func() { d.send(from, data) })
 		}
 	})
 }
@@ -83,7 +83,7 @@
 		harm := d.link.harm(to.Addr())
 		if !harm.SilentBack {
 			// What cannot be sent is lost.
-			harm.pass(func() { _, _ = d.conn.WriteToUDPAddrPort(data, to) })
+			harm.pass(d.link, len(data), func() { _, _ = d.conn.WriteToUDPAddrPort(data, to) })
 		}
 	})
 }
@@ -104,13 +104,15 @@
 	}
 }
 
-// pass sends a datagram at once or after the delay, unless it is lost.
-func (h Harm) pass(send func()) {
+// pass sends a datagram at once or after the delay and its wait for the link, unless it is
+// lost.
+func (h Harm) pass(link *Link, size int, send func()) {
+	wait, passed := link.queue(h.Rate, size)
 	switch {
-	case rand.Float64() < h.Loss:
-	case h.Delay == 0:
+	case !passed || rand.Float64() < h.Loss:
+	case h.Delay+wait == 0:
 		send()
 	default:
-		time.AfterFunc(h.Delay, send)
+		time.AfterFunc(h.Delay+wait, send)
 	}
 }
--- a/wigeonlab/internal/proxy/proxy_test.go
+++ b/wigeonlab/internal/proxy/proxy_test.go
@@ -79,6 +79,28 @@
 	}
 }
 
+// Of ten datagrams at once a link of a slow rate passes those that its queue has room for.
+func TestRate(t *testing.T) {
+	is := is.New(t)
+	caller, target, link := socket(t), socket(t), &proxy.Link{}
+	at := free(t)
+	_, err := proxy.NewDatagrams(t.Context(), at, address(target), link)
+	is.NoErr(err)
+	link.Set(proxy.Harm{Rate: 10_000}) // a datagram of 1,000 bytes takes 100 ms
+	for range 10 {
+		_, err = caller.WriteToUDPAddrPort(make([]byte, 1000), at)
+		is.NoErr(err)
+	}
+	passed := 0
+	for {
+		if _, ok := arrives(target, time.Second); !ok {
+			break
+		}
+		passed++
+	}
+	is.True(passed >= 3 && passed < 10)
+}
+
 func wait(expected bool) time.Duration {
 	if expected {
 		return 5 * time.Second
--- a/wigeonlab/internal/soak/plan.go
+++ b/wigeonlab/internal/soak/plan.go
@@ -36,6 +36,8 @@
 	RouteAdd     Kind = "RouteAdd"
 	RouteDrop    Kind = "RouteDrop"
 	RouteStorm   Kind = "RouteStorm"
+	RouteGrowth  Kind = "RouteGrowth"
+	LinkRate     Kind = "LinkRate"
 )
 
 // kinds are drawn from with equal chance, so that those named twice come more often.
@@ -46,7 +48,7 @@
 }
 
 // planned kinds are an operator's work, or a server's that lives on.
-var planned = []Kind{Terminate, Roll, Reload, ServerDrain, ServerAdd, EntryLapse, RouteAdd, RouteDrop, RouteStorm}
+var planned = []Kind{Terminate, Roll, Reload, ServerDrain, ServerAdd, EntryLapse, RouteAdd, RouteDrop, RouteStorm, RouteGrowth}
 
 // Planned reports whether callers must not notice the kind.
 func (k Kind) Planned() bool { return slices.Contains(planned, k) }
@@ -100,5 +102,32 @@
 			Pick: random.Uint32(), Style: styles[random.IntN(len(styles))],
 		})
 	}
+	return append(steps, growth(seed, span)...)
+}
+
+// growthFrom is the seed from which on plans have great changes and links of a set rate as
+// well. Those of earlier seeds stay what they were.
+const growthFrom = 1000
+
+// growth draws a configuration that grows by hundreds of routes while balancers are
+// replaced, and links of a set rate around it unless all work is planned.
+func growth(seed uint64, span time.Duration) []Step {
+	if seed < growthFrom {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(seed, 2))
+	at := time.Duration(random.Int64N(int64(span)))
+	steps := []Step{
+		{Kind: RouteGrowth, At: at},
+		{Kind: Roll, At: at + time.Duration(random.IntN(500))*time.Millisecond, Pick: random.Uint32()},
+	}
+	if !calmPlan(seed) {
+		for range 2 {
+			steps = append(steps, Step{Kind: LinkRate, At: at, For: 3 * time.Second, Pick: random.Uint32()})
+		}
+	}
 	return steps
 }
+
+// calmPlan reports whether a seed has planned work only.
+func calmPlan(seed uint64) bool { return rand.New(rand.NewPCG(seed, 1)).IntN(3) == 0 }
--- a/wigeonlab/internal/soak/steps.go
+++ b/wigeonlab/internal/soak/steps.go
@@ -20,10 +20,14 @@
 	// linkDelay and linkLoss are what a delayed or lossy link does to what passes.
 	linkDelay = 200 * time.Millisecond
 	linkLoss  = 0.2
+	// linkRate is that of a slow link in bytes a second: gossip takes a third of it.
+	linkRate = 40_000
 	// slowDelay is added to the store's answers while it is slow.
 	slowDelay = 250 * time.Millisecond
 	// manyShare of the balancers are killed by KillMany.
 	manyShare = 0.6
+	// grownRoutes is by how many routes a configuration grows.
+	grownRoutes = 600
 	// stormChanges follow each other at stormPause.
 	stormChanges = 8
 	stormPause   = 150 * time.Millisecond
@@ -144,6 +148,8 @@
 		harmFor(ctx, step.For, proxy.Harm{Delay: slowDelay}, w.harmStores)
 	case PeerLink:
 		harmFor(ctx, step.For, step.harm(), b.peers.Set)
+	case LinkRate:
+		harmFor(ctx, step.For, proxy.Harm{Rate: linkRate}, b.peers.Set)
 	case DomainCut:
 		silence := proxy.Harm{SilentForward: true, SilentBack: true}
 		harmFor(ctx, step.For, silence, func(h proxy.Harm) { w.cut(int(step.Pick)%domains, h) })
@@ -182,6 +188,8 @@
 		if live := w.live(); len(live) > len(services) {
 			w.dropRoute(live[len(live)-1])
 		}
+	case RouteGrowth:
+		w.addRoutes(grownRoutes)
 	case RouteStorm:
 		for range stormChanges {
 			w.addRoute()
--- a/wigeonlab/internal/soak/world.go
+++ b/wigeonlab/internal/soak/world.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -186,18 +187,25 @@
 	w.note(func(h *History) { change(&h.Lives[s.number-1]) })
 }
 
-// addRoute publishes one more route.
-func (w *world) addRoute() Route {
+// addRoutes publishes some more routes, at once.
+func (w *world) addRoutes(count int) []Route {
 	w.mutex.Lock()
-	number := len(w.routes)
-	route := Route{Listen: state.NewEndpoint(0xC6120001, uint16(443+number)), Service: services[number%len(services)]}
-	w.routes = append(w.routes, route)
+	first := len(w.routes)
+	for number := first; number < first+count; number++ {
+		w.routes = append(w.routes, Route{Listen: state.NewEndpoint(0xC6120001, uint16(443+number)), Service: services[number%len(services)]})
+	}
+	added := slices.Clone(w.routes[first:])
 	w.mutex.Unlock()
 	w.configure()
-	w.setRoute(route.Listen, func(r *Route) { r.Added = time.Now() })
-	return route
+	for _, route := range added {
+		w.setRoute(route.Listen, func(r *Route) { r.Added = time.Now() })
+	}
+	return added
 }
 
+// addRoute publishes one more route.
+func (w *world) addRoute() Route { return w.addRoutes(1)[0] }
+
 // dropRoute withdraws a route.
 func (w *world) dropRoute(route Route) {
 	w.setRoute(route.Listen, func(r *Route) { r.Dropped = time.Now() })
