--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The door to this repository. Every target works on a fresh clone.
 MODULES = ./... ./wigeond/... ./wigeonctl/... ./wigeonlab/...
 
-.PHONY: build demo test check soak measure capacity bench properties scenarios fuzz generate
+.PHONY: build demo test check soak regress measure capacity bench properties scenarios fuzz generate
 
 build:
 	go build -o bin/ ./wigeond ./wigeonctl ./wigeonlab
@@ -23,6 +23,15 @@
 soak: build
 	bin/wigeonlab soak -seed $(or $(SEED),1) -count 50 -jobs 3 $(SOAK)
 
+# SITES are played for each landing, those of the newest milestones.
+SITES = further/lsc-dakar further-grown/lsc-dakar-grown large/minuterie-bzh-large \
+	grown/minuterie-bzh-grown grown/hanji-coop-grown
+
+# regress scores the users' sites, one after the other: BENCH is their bench's program, KIT
+# the folder with their site files, WHY a line for the journal.
+regress:
+	for site in $(SITES); do $(BENCH) score $(KIT)/$$site.toml --why "$(WHY)" || exit 1; done
+
 # measure prints a line an experiment; it takes some minutes.
 measure:
 	go test ./internal/owned -run 'TestMeasure' -measure -v -parallel 3 -timeout 30m | grep '^measure:'
@@ -34,7 +43,7 @@
 
 # bench runs the benchmarks of the packet path.
 bench:
-	go test ./internal/owned ./internal/daemon ./internal/tagged ./internal/logs -run '^$$' -bench 'Packet|Relay|Exception|Memory|Line' -benchmem
+	go test ./internal/owned ./internal/daemon ./internal/tagged ./internal/policy ./internal/logs -run '^$$' -bench 'Packet|Relay|Exception|Memory|Line|Filler' -benchmem
 
 # properties runs the properties longer than make test does.
 properties:
