--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"wigeonmoor.example/internal/gossip"
 	"wigeonmoor.example/internal/state"
 )
 
