--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -283,7 +283,7 @@
 	if t.id.departed {
 		n.departedAnswers++
 	} else {
-		n.desk.keep(t, now)
+		n.outgoing.keep(t, now)
 	}
 	changed, err := n.settings.Replica.Apply(delta, now)
 	if errors.Is(err, state.ErrDigest) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -95,8 +95,8 @@
 	confirmed time.Time
 	nextRound time.Time
 	nextSeeds time.Time
-	who       who
-	desk      desk
+	query     memberQuery
+	outgoing  outgoing
 	// view is what is fetched of changes, departed of backend servers that have left.
 	view, departed fetch
 	// departedAnswers counts the peers that have told of departed backend servers.
@@ -118,7 +118,7 @@
 		roster:     roster{named: make(map[string]*member), short: make(map[uint32]*member)},
 		collecting: newCollecting(),
 	}
-	n.desk.rate = cmp.Or(settings.BulkRate, DefaultBulkRate)
+	n.outgoing.rate = cmp.Or(settings.BulkRate, DefaultBulkRate)
 	// The time of day may jump, so that lives are told apart by a random number.
 	n.self = wire.Member{
 		Name:        settings.Name,
@@ -271,8 +271,8 @@
 	switch body := exchange.Body.(type) {
 	case *wire.Exchange_Gossip:
 		n.takeGossip(body.Gossip, from, now)
-	case *wire.Exchange_Who:
-		n.introduce(body.Who, from, now)
+	case *wire.Exchange_MemberQuery:
+		n.answerQuery(body.MemberQuery, from, now)
 	case *wire.Exchange_Tally:
 		n.takeTally(body.Tally, from, now)
 	case *wire.Exchange_Totals:
@@ -297,7 +297,7 @@
 	if sender == nil || sender.Name == "" || sender.Name == n.self.Name {
 		return
 	}
-	n.who.unknown = n.who.unknown[:0]
+	n.query.unknown = n.query.unknown[:0]
 	newcomer := n.hear(sender, true, now)
 	for _, other := range message.Members {
 		n.hear(other, false, now)
@@ -305,7 +305,7 @@
 	if newcomer {
 		n.out = append(n.out, Message{To: from, Data: n.gossip(n.tell(), now)})
 	}
-	n.askWho(message, from, now)
+	n.queryMembers(message, from, now)
 	n.compare(message, from, now)
 	n.learnDeparted(message, from, now)
 }
--- a/internal/gossip/member.go
+++ b/internal/gossip/member.go
@@ -165,7 +165,7 @@
 	switch {
 	case told.Short == uint32(rank(n.self.Name)):
 	case known == nil:
-		n.who.unknown = append(n.who.unknown, told.Short)
+		n.query.unknown = append(n.query.unknown, told.Short)
 	case uint32(known.told.Incarnation) == told.Life:
 		n.heartbeat(known, told, now)
 	}
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -47,8 +47,8 @@
 	at       time.Time
 }
 
-// desk serves requests.
-type desk struct {
+// outgoing is what is sent of transfers.
+type outgoing struct {
 	rate     Rate
 	budget   float64
 	filledAt time.Time
@@ -57,7 +57,7 @@
 }
 
 // fill adds what the budget has gained.
-func (d *desk) fill(now time.Time) {
+func (d *outgoing) fill(now time.Time) {
 	most := float64(d.rate) * burstSpan.Seconds()
 	// A part is sent even where a tick's budget is less.
 	most = max(most, partBytes+datagramBytes)
@@ -80,7 +80,7 @@
 		n.sendNone(to, want.Transfer)
 		return
 	}
-	d := &n.desk
+	d := &n.outgoing
 	d.requests = slices.DeleteFunc(d.requests, func(r request) bool {
 		return r.to == to && r.transfer.id.departed == t.id.departed || now.Sub(r.at) > requestLife
 	})
@@ -128,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.desk.keep(t, now)
+	n.outgoing.keep(t, now)
 	return t, nil
 }
 
@@ -137,7 +137,7 @@
 	if t := n.view.transfer; t != nil && t.id == id {
 		return t
 	}
-	for _, t := range n.desk.offers {
+	for _, t := range n.outgoing.offers {
 		if t.id == id {
 			return t
 		}
@@ -149,7 +149,7 @@
 // one that others are taking goes on being offered for a while after the next change, so
 // that they can help each other.
 func (n *Node) keptSince(since state.Revision, now time.Time) *transfer {
-	for _, t := range n.desk.offers {
+	for _, t := range n.outgoing.offers {
 		shared := len(t.pieces) > partsPerWant && now.Sub(t.used) < stallSpan
 		if t.id.from == since && (shared || t.id.to == n.settings.Replica.Revision()) {
 			return t
@@ -159,7 +159,7 @@
 }
 
 // keep adds a transfer to those that requests are served from.
-func (d *desk) keep(t *transfer, now time.Time) {
+func (d *outgoing) keep(t *transfer, now time.Time) {
 	t.used = now
 	d.offers = append(d.offers, t)
 	if len(d.offers) > offersKept {
@@ -174,7 +174,7 @@
 
 // serve sends parts as far as the budget goes.
 func (n *Node) serve(now time.Time) {
-	d := &n.desk
+	d := &n.outgoing
 	d.fill(now)
 	for len(d.requests) > 0 {
 		r := d.requests[0]
