--- a/internal/tagged/doubt.go
+++ b/internal/tagged/doubt.go
@@ -7,8 +7,9 @@
 // not answer then is unreachable, not dead, until another balancer has found it silent,
 // too. Other balancers are asked as soon as one check has failed, so that truly dead
 // servers are found no later; one that reaches the server has it kept, whatever is seen
-// here. A single server that nobody speaks of is dead after some more checks. Asking a majority was rejected: those on the same side of a cut are what counts,
-// and each answer may cost a connection.
+// here: an indirect check, as SWIM makes of members. A single server that nobody speaks of
+// is dead after some more checks. Asking a majority was rejected: those on the same side of
+// a cut are what counts, and each answer may cost a connection.
 
 import (
 	"time"
