--- a/internal/gossip/bulk_test.go
+++ b/internal/gossip/bulk_test.go
@@ -128,3 +128,26 @@
 	is.True(f.longest < waitBound)
 	is.True(float64(f.busiest()) < took.Seconds()*(float64(gossip.DefaultBulkRate)+25_000))
 }
+
+// BenchmarkCapacityFullView is 9,000 backend servers and 3,000 routes on their way to a
+// fleet, over links of 10 Mbit/s: the time that it takes there and what is sent.
+func BenchmarkCapacityFullView(b *testing.B) {
+	for _, size := range []int{8, 90, 300} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var took, bytes, busiest float64
+			for range b.N {
+				f := newFleet(size, 22)
+				f.run(12 * time.Second)
+				f.rate, f.bytes = slowLink, 0
+				f.count()
+				f.read(size/2, published(5, 2, 9000, 3000))
+				took += f.spread(5, time.Minute).Seconds()
+				bytes += float64(f.bytes) / float64(size)
+				busiest += float64(f.busiest())
+			}
+			b.ReportMetric(took/float64(b.N), "s/view")
+			b.ReportMetric(bytes/float64(b.N), "B/balancer")
+			b.ReportMetric(busiest/float64(b.N), "B/busiest")
+		})
+	}
+}
