Log and count what a balancer discards of the platform's answers

The incident of the restored store left no trace in logs or metrics: a full read that is older than the replica was discarded silently, the store's epoch (Store-Era) was not decoded, and the metrics showed the revision of a balancer but not the version of its configuration.

The epoch of each response is decoded and a change of it is logged with the revision and the kind of read; reads that are older than the replica are logged and counted; wigeond_view_version, wigeond_platform_epoch and wigeond_platform_outdated_reads_total are new. No decision depends on any of them.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -102,6 +102,10 @@
 	loaded      atomic.Bool
 	fetching    atomic.Bool
 	memberCount atomic.Int64
+	// configurationVersion is the version of the configuration in the core's table.
+	configurationVersion atomic.Uint64
+	// platformEpoch is the epoch of the platform's latest response.
+	platformEpoch atomic.Uint32
 	// droppedWork counts closures that did not fit into the queue.
 	droppedWork atomic.Int64
 }
@@ -248,6 +252,7 @@
 	table := b.replica.Table()
 	b.nextTableAt = now.Add(time.Duration(len(table.Entries())) * tableIntervalPerBackend)
 	b.sendResets(b.core.SetTable(table, now))
+	b.configurationVersion.Store(uint64(table.Version))
 	b.log.Info("state: view in force", "Revision", table.Revision, "Version", table.Version, "Backends", len(table.Entries()), "Source", source)
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -47,6 +47,9 @@
 	}
 	m.set.NewGauge("wigeond_view_age_seconds", func() float64 { return b.replicaAge().Seconds() })
 	m.set.NewGauge("wigeond_view_revision", func() float64 { return float64(b.revision.Load()) })
+	m.set.NewGauge("wigeond_view_version", func() float64 { return float64(b.configurationVersion.Load()) })
+	m.set.NewGauge("wigeond_platform_epoch", func() float64 { return float64(b.platformEpoch.Load()) })
+	m.set.NewGauge("wigeond_platform_outdated_reads_total", func() float64 { return float64(b.node.OutdatedReads()) })
 	m.set.NewGauge("wigeond_members", func() float64 { return float64(b.memberCount.Load()) })
 	m.set.NewGauge("wigeond_ready", func() float64 { return boolValue(b.ready.Load()) })
 	m.set.NewGauge("wigeond_reads_platform", func() float64 { return boolValue(b.isReader.Load()) })
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -71,6 +71,8 @@
 // Result is a response of the platform.
 type Result struct {
 	Delta state.Delta
+	// Epoch is the epoch of the platform's store in which it responded.
+	Epoch state.Epoch
 	// Problems describe published items that are invalid and not part of Delta.
 	Problems []error
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -18,6 +18,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// Epoch counts how often the platform's store was restored from an older copy. Revisions of
+// different epochs are not comparable, because a restored store assigns some of them again.
+type Epoch uint16
+
 // Revision is the platform's counter of changes to published items. It never decreases.
 type Revision uint64
 
