--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -171,6 +171,7 @@
 		return
 	}
 	now := time.Now()
+	b.checkConfiguration(now)
 	b.send(b.node.Tick(now))
 	b.core.SetPeerCount(b.node.LiveCount() - 1)
 	b.readStore(now)
@@ -179,6 +180,30 @@
 	}
 }
 
+// checkConfiguration records a violation if the propagation limit applies and the newest
+// configuration is not in force.
+func (b *Balancer) checkConfiguration(now time.Time) {
+	d := b.deployment
+	if !d.limitsApply(b) || now.Sub(d.publishedAt) <= configPropagationLimit || b.version == d.version && b.replicaHas(d.configuration) {
+		return
+	}
+	d.addViolation("%s has version %d of the configuration, %s after version %d was published", b.name, b.version, now.Sub(d.publishedAt), d.version)
+}
+
+// replicaHas reports whether the replica has the routes of a configuration.
+func (b *Balancer) replicaHas(configuration *state.Configuration) bool {
+	c := b.replica.Configuration()
+	if c == nil || len(c.Routes) != len(configuration.Routes) {
+		return false
+	}
+	for index := range c.Routes {
+		if c.Routes[index].Name != configuration.Routes[index].Name {
+			return false
+		}
+	}
+	return true
+}
+
 // sendResets sends the resets that the core has requested without a packet from the
 // caller.
 func (b *Balancer) sendResets(resets []tagged.Reset) {
@@ -218,6 +243,12 @@
 		delta.Full, delta.Removals = true, nil
 		return delta
 	}
+	if replica.Revision() > d.store.Revision() {
+		// The store does not have that revision, so the balancer reads everything.
+		delta := d.store.DeltaSince(0)
+		delta.Full, delta.Removals = true, nil
+		return delta
+	}
 	delta := d.store.DeltaSince(replica.Revision())
 	delta.Removed = make(map[string]state.Revision)
 	for _, removal := range delta.Removals {
--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -125,10 +125,18 @@
 	config Config
 	loop   model.Loop
 	random *rand.Rand
-	// store holds the state that the platform's store publishes.
+	// store holds the state that the platform's store publishes, and storeLog the writes
+	// that it results from.
 	store    *state.Replica
+	storeLog []storeWrite
 	revision state.Revision
-	version  state.Version
+	// epoch counts the restores of the store.
+	epoch   state.Epoch
+	version state.Version
+	// configuration is the configuration that was published last, publishedAt the time at
+	// which the store acknowledged it.
+	configuration *state.Configuration
+	publishedAt   time.Time
 	// droppedRoutes maps the classes without a route to the times at which their routes
 	// were dropped.
 	droppedRoutes map[string]time.Time
@@ -197,9 +205,8 @@
 // PublishConfiguration publishes a new version of the configuration, which has a route for
 // each class that is not in droppedClasses. Versions increase but are not consecutive.
 func (d *Deployment) PublishConfiguration(droppedClasses map[string]bool) {
-	d.revision++
 	d.version += 3
-	configuration := &state.Configuration{Version: d.version, Revision: d.revision, IdleTimeout: 15 * time.Second}
+	configuration := &state.Configuration{Version: d.version, IdleTimeout: 15 * time.Second}
 	for index := range d.config.Classes {
 		class := &d.config.Classes[index]
 		if droppedClasses[class.Name] {
@@ -213,7 +220,17 @@
 			Timeout: class.Deadline, Objective: class.Objective,
 		})
 	}
-	d.publish(state.Delta{Configuration: configuration})
+	d.configuration = configuration
+	d.writeConfiguration()
+}
+
+// writeConfiguration writes the configuration that was published last to the store.
+func (d *Deployment) writeConfiguration() {
+	d.revision++
+	configuration := *d.configuration
+	configuration.Revision = d.revision
+	d.publishedAt = time.Now()
+	d.publish(state.Delta{Configuration: &configuration})
 }
 
 // publish applies a delta from the previous to the current revision to the store.
@@ -223,6 +240,7 @@
 }
 
 func (d *Deployment) applyToStore(delta state.Delta) {
+	d.storeLog = append(d.storeLog, storeWrite{at: time.Now(), delta: delta})
 	if _, err := d.store.Apply(delta, time.Now()); err != nil {
 		d.addViolation("the store rejected a change: %v", err)
 	}
@@ -251,6 +269,59 @@
 	d.linksChangedAt = time.Now()
 }
 
+// storeWrite is a write to the store with its time.
+type storeWrite struct {
+	at    time.Time
+	delta state.Delta
+}
+
+const (
+	// maxRewriteDelay is the maximum time after a restore within which a running server
+	// writes its entry again.
+	maxRewriteDelay = 2 * time.Second
+	// configurationRewriteDelay is the time after which the operators write a lost
+	// configuration again.
+	configurationRewriteDelay = 200 * time.Millisecond
+	// entryTTL is the time without heartbeats after which the entry of a server expires.
+	entryTTL = 3 * time.Second
+)
+
+// RestoreStore replaces the store's state by a copy of the given age. The running servers and
+// the operators write again what the copy lacks, and entries of servers that have left
+// expire.
+func (d *Deployment) RestoreStore(age time.Duration) {
+	copied := time.Now().Add(-age)
+	for len(d.storeLog) > 1 && d.storeLog[len(d.storeLog)-1].at.After(copied) {
+		d.storeLog = d.storeLog[:len(d.storeLog)-1]
+	}
+	d.epoch++
+	writes := d.storeLog
+	d.store, d.storeLog = state.NewReplica(), nil
+	for _, w := range writes {
+		d.applyToStore(w.delta)
+		d.storeLog[len(d.storeLog)-1].at = w.at
+	}
+	d.revision = d.store.Revision()
+	d.storeChangedAt = time.Now()
+	epoch := d.epoch
+	d.after(configurationRewriteDelay, func() {
+		if c := d.store.Configuration(); d.epoch == epoch && (c == nil || c.Version < d.version) {
+			d.writeConfiguration()
+		}
+	})
+	for _, s := range d.Servers {
+		if s.stopped {
+			d.after(entryTTL, s.expireCopiedEntry)
+			continue
+		}
+		d.after(time.Duration(d.random.Int64N(int64(maxRewriteDelay))), func() {
+			if d.epoch == epoch && !s.stopped {
+				s.publish()
+			}
+		})
+	}
+}
+
 // SetStoreDown starts or ends an outage of the store.
 func (d *Deployment) SetStoreDown(down bool) {
 	d.storeDown = down
--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -159,6 +159,30 @@
 	runWithFaults(t, config, 20*time.Second, 0.97, func(*emul.Deployment, func(time.Duration, func())) {})
 }
 
+// A store that was restored from a copy assigns revisions again that balancers have already
+// seen. Changes that it has acknowledged must be in force, and must not be reverted.
+func TestRestoredStoreKeepsChangesInForce(t *testing.T) {
+	for name, age := range map[string]time.Duration{"recent copy": 300 * time.Millisecond, "older copy": 4 * time.Second, "copy of the start": 12 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				runWithFaults(t, emul.TimerServiceConfig(50+seed), 34*time.Second, 0.75, func(d *emul.Deployment, after func(time.Duration, func())) {
+					after(2*time.Second, func() { d.PublishConfiguration(map[string]bool{"logbook": true}) })
+					after(7800*time.Millisecond, func() { d.PublishConfiguration(nil) })
+					after(3*time.Second, func() { d.Servers[0].Drain(4 * time.Second); d.AddServer("planning", "domain-2") })
+					after(7*time.Second, func() { d.SetStoreDown(true) })
+					after(8*time.Second, func() { d.RestoreStore(age); d.SetStoreDown(false) })
+					after(8500*time.Millisecond, func() { d.Balancers[3].Restart(time.Second) })
+					after(13*time.Second, func() { d.PublishConfiguration(map[string]bool{"change": true}) })
+					after(14*time.Second, func() { d.Servers[1].Drain(4 * time.Second) })
+					after(19*time.Second, func() { d.PublishConfiguration(nil) })
+					after(22*time.Second, func() { d.RestoreStore(age) })
+					after(27*time.Second, func() { d.AddServer("planning", "domain-1"); d.PublishConfiguration(nil) })
+				})
+			}
+		})
+	}
+}
+
 func TestDroppedRoute(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := emul.New(emul.TimerServiceConfig(10))
--- a/internal/emul/server.go
+++ b/internal/emul/server.go
@@ -98,6 +98,15 @@
 	}
 }
 
+// expireCopiedEntry removes the entry of a stopped server that a restored store contains.
+func (s *Server) expireCopiedEntry() {
+	for _, entry := range s.deployment.store.Table().Entries() {
+		if entry.Name == s.backend.Name && entry.Published() {
+			s.removeFromStore()
+		}
+	}
+}
+
 // Crash stops the server without notice. If silent is set, its instance fails as well and
 // answers nothing. The server's entry in the store expires after expiryDelay, as it is no
 // longer renewed by heartbeats.
