Order revisions by the epoch of the platform's store

Callers saw: after the platform's store had come back from an older copy, balancers went on for good with a configuration of before; a route that had been added and acknowledged was refused or not served, a dropped one was served.

Cause: the store's counter was taken for a number that never decreases and names one state. A restored store goes back and assigns numbers again. A balancer therefore discarded what it read until the counter had passed its own, although that confirmed its view; a watch from a number that the store had assigned again succeeded and missed what came before; and balancers with equal numbers from different histories confirmed each other and computed deltas that lacked changes. Class: a logical clock that is compared across a restart of its source.

Change: a state.Revision is the epoch (Store-Era) in the upper 16 bits and the counter in the lower 48, as in ZooKeeper's transaction ids, so that every place that keeps or compares revisions, on the wire too, orders by epoch first. Only an answer that is not older than the replica confirms it. A replica enters an epoch with a full delta: what differs gets revisions of the new epoch, the newest version of the configuration stays, and a server that is draining, or has left after draining, does not become serving because of an older entry. Peers that were not ahead of the sender still get a delta; those that were, or that entered the epoch before the sender, get the full state. The message format is unchanged.

Rejected: an empty replica for each epoch (every balancer fetches everything at once and forgets which servers drain), and accepting lower numbers whenever a full read shows them (equal numbers stay ambiguous).

The emulator's random faults now include restores; its tests and those of gossip, source, state and platform pass.

--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"wigeonmoor.example/internal/gossip"
@@ -181,10 +182,10 @@
 }
 
 // checkConfiguration records a violation if the propagation limit applies and the newest
-// configuration is not in force.
+// configuration is not in force. It exempts a leaving balancer, which peers no longer update.
 func (b *Balancer) checkConfiguration(now time.Time) {
 	d := b.deployment
-	if !d.limitsApply(b) || now.Sub(d.publishedAt) <= configPropagationLimit || b.version == d.version && b.replicaHas(d.configuration) {
+	if b.leaving || !d.limitsApply(b) || now.Sub(d.publishedAt) <= configPropagationLimit || b.version == d.version && b.replicaHas(d.configuration) {
 		return
 	}
 	d.addViolation("%s has version %d of the configuration, %s after version %d was published", b.name, b.version, now.Sub(d.publishedAt), d.version)
@@ -234,22 +235,17 @@
 	})
 }
 
-// deltaSince returns the delta that the store sends to a replica. As the platform's store
-// does, it holds changed items as a whole, and only the names of the servers that were
-// removed since the replica's revision.
+// deltaSince returns the delta that the store sends to a replica: everything if the replica
+// has not loaded anything yet or has a revision of an earlier epoch. As the platform's store
+// does, it sends changed items as a whole, and only the names of the servers that were removed
+// since the replica's revision.
 func (d *Deployment) deltaSince(replica *state.Replica) state.Delta {
-	if !replica.Loaded() {
+	if !replica.Loaded() || replica.Revision().Epoch() != d.epoch {
 		delta := d.store.DeltaSince(0)
 		delta.Full, delta.Removals = true, nil
-		return delta
+		return d.inEpoch(delta)
 	}
-	if replica.Revision() > d.store.Revision() {
-		// The store does not have that revision, so the balancer reads everything.
-		delta := d.store.DeltaSince(0)
-		delta.Full, delta.Removals = true, nil
-		return delta
-	}
-	delta := d.store.DeltaSince(replica.Revision())
+	delta := d.store.DeltaSince(state.Revision(replica.Revision().Counter()))
 	delta.Removed = make(map[string]state.Revision)
 	for _, removal := range delta.Removals {
 		delta.Removed[removal.Backend.Name] = removal.Revision
@@ -259,6 +255,32 @@
 		// The store has the configuration only as a whole.
 		delta.ConfigurationDelta, delta.Configuration = nil, d.store.Configuration()
 	}
+	return d.inEpoch(delta)
+}
+
+// inEpoch returns a delta of the store, whose revisions are counters, with revisions of the
+// store's epoch.
+func (d *Deployment) inEpoch(delta state.Delta) state.Delta {
+	convert := func(revision state.Revision) state.Revision {
+		return state.NewRevision(d.epoch, revision.Counter())
+	}
+	delta.From, delta.To = convert(delta.From), convert(delta.To)
+	delta.Backends = slices.Clone(delta.Backends)
+	for index := range delta.Backends {
+		delta.Backends[index].Revision = convert(delta.Backends[index].Revision)
+	}
+	for name, revision := range delta.Removed {
+		delta.Removed[name] = convert(revision)
+	}
+	if delta.Configuration != nil {
+		configuration := *delta.Configuration
+		configuration.Revision = convert(configuration.Revision)
+		configuration.Routes = slices.Clone(configuration.Routes)
+		for index := range configuration.Routes {
+			configuration.Routes[index].Revision = 0
+		}
+		delta.Configuration = &configuration
+	}
 	return delta
 }
 
--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -260,7 +260,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		seed := rapid.Uint64().Draw(r, "seed")
 		lossRate := rapid.SampledFrom([]float64{0, 0, 0.02}).Draw(r, "loss")
-		faults := rapid.SliceOfN(rapid.SampledFrom([]string{"kill", "restart", "freeze", "crash", "dark", "drain", "add", "cut", "heal", "down", "up", "drop", "configure", "refuse"}), 1, 8).Draw(r, "steps")
+		faults := rapid.SliceOfN(rapid.SampledFrom([]string{"kill", "restart", "freeze", "crash", "dark", "drain", "add", "cut", "heal", "down", "up", "drop", "configure", "refuse", "restore"}), 1, 8).Draw(r, "steps")
 		gapsMS := rapid.SliceOfN(rapid.IntRange(0, 2500), len(faults), len(faults)).Draw(r, "gaps")
 		target := rapid.IntRange(0, 7).Draw(r, "target")
 		violations := faultSequence{seed: seed, lossRate: lossRate, faults: faults, gapsMS: gapsMS, target: target}.run(t)
@@ -300,6 +300,8 @@
 		for offset := range 3 {
 			d.Balancers[(target+offset)%len(d.Balancers)].DenyStoreAccess(6 * time.Second)
 		}
+	case "restore":
+		d.RestoreStore(time.Duration(target) * time.Second)
 	case "drop":
 		d.PublishConfiguration(map[string]bool{"change": true})
 	case "configure":
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -253,7 +253,7 @@
 	b.nextTableAt = now.Add(time.Duration(len(table.Entries())) * tableIntervalPerBackend)
 	b.sendResets(b.core.SetTable(table, now))
 	b.configurationVersion.Store(uint64(table.Version))
-	b.log.Info("state: view in force", "Revision", table.Revision, "Version", table.Version, "Backends", len(table.Entries()), "Source", source)
+	b.log.Info("state: view in force", "Epoch", table.Revision.Epoch(), "Revision", table.Revision.Counter(), "Version", table.Version, "Backends", len(table.Entries()), "Source", source)
 }
 
 // enqueue queues work for the control goroutine. If the queue is full, the work is dropped
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"wigeonmoor.example/internal/state"
 	"wigeonmoor.example/internal/tagged"
 )
 
@@ -46,10 +47,10 @@
 		m.set.NewGauge(name, func() float64 { return float64(counter.Load()) })
 	}
 	m.set.NewGauge("wigeond_view_age_seconds", func() float64 { return b.replicaAge().Seconds() })
-	m.set.NewGauge("wigeond_view_revision", func() float64 { return float64(b.revision.Load()) })
+	m.set.NewGauge("wigeond_view_revision", func() float64 { return float64(state.Revision(b.revision.Load()).Counter()) })
+	m.set.NewGauge("wigeond_view_epoch", func() float64 { return float64(state.Revision(b.revision.Load()).Epoch()) })
 	m.set.NewGauge("wigeond_view_version", func() float64 { return float64(b.configurationVersion.Load()) })
 	m.set.NewGauge("wigeond_platform_epoch", func() float64 { return float64(b.platformEpoch.Load()) })
-	m.set.NewGauge("wigeond_platform_outdated_reads_total", func() float64 { return float64(b.node.OutdatedReads()) })
 	m.set.NewGauge("wigeond_members", func() float64 { return float64(b.memberCount.Load()) })
 	m.set.NewGauge("wigeond_ready", func() float64 { return boolValue(b.ready.Load()) })
 	m.set.NewGauge("wigeond_reads_platform", func() float64 { return boolValue(b.isReader.Load()) })
--- a/internal/entry/read.go
+++ b/internal/entry/read.go
@@ -109,8 +109,9 @@
 	for _, problem := range result.Problems {
 		b.log.Info("source: ignored an invalid published item", "Problem", problem.Error())
 	}
-	if epoch := state.Epoch(b.platformEpoch.Swap(uint32(result.Epoch))); epoch != result.Epoch {
-		b.log.Info("source: platform is in another epoch", "Epoch", result.Epoch, "Before", epoch, "Revision", result.Delta.To, "Full", result.Delta.Full)
+	to := result.Delta.To
+	if epoch := state.Epoch(b.platformEpoch.Swap(uint32(to.Epoch()))); epoch != to.Epoch() {
+		b.log.Info("source: platform is in another epoch", "Epoch", to.Epoch(), "Before", epoch, "Revision", to.Counter(), "Full", result.Delta.Full)
 	}
 	b.sendMessages(b.node.ApplyPlatformDelta(result.Delta, time.Now()))
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -23,7 +23,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -120,8 +119,6 @@
 	outbox           []Message
 	readerLogged     bool
 	wasReader        bool
-	// outdatedReads counts reads of the platform that were older than the replica.
-	outdatedReads atomic.Int64
 }
 
 // New returns a node that knows no other members. It returns an error if the address is not
@@ -151,19 +148,14 @@
 // SetSeeds replaces the seed addresses when the settings are reloaded.
 func (n *Node) SetSeeds(seeds []netip.AddrPort) { n.config.Seeds = seeds }
 
-// OutdatedReads returns the number of reads of the platform that were older than the replica.
-// It may be called from any goroutine.
-func (n *Node) OutdatedReads() int64 { return n.outdatedReads.Load() }
-
 // ConfirmedAt returns the latest time at which the replica is known to have been current,
 // the zero time if there is none.
 func (n *Node) ConfirmedAt() time.Time { return n.confirmedAt }
 
 // ApplyPlatformDelta applies a delta that was read from the platform. If it changes the
-// replica, a round is sent at once.
+// replica, a round is sent at once. A delta that is older than the replica confirms nothing.
 func (n *Node) ApplyPlatformDelta(delta state.Delta, now time.Time) []Message {
 	n.outbox = nil
-	revision := n.config.Replica.Revision()
 	if !n.config.Replica.CanApply(delta) {
 		return nil
 	}
@@ -172,15 +164,13 @@
 		n.config.Log.Error(err, "gossip: could not apply delta read from the platform")
 		return nil
 	}
-	if delta.To < revision {
-		n.outdatedReads.Add(1)
-		n.config.Log.Info("gossip: platform read is older than the replica", "Revision", delta.To, "Replica", revision, "Full", delta.Full)
-	}
 	if changed {
 		n.config.OnChange("platform", now)
 		n.sendRound(now)
 	}
-	n.confirm(now.Add(-platformReadMargin))
+	if delta.To >= n.config.Replica.Revision() {
+		n.confirm(now.Add(-platformReadMargin))
+	}
 	return n.outbox
 }
 
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -108,6 +108,10 @@
 	}
 	replica := n.config.Replica
 	since := state.Revision(want.Revision)
+	if since < replica.Revision() && !replica.HasDeltaSince(since) {
+		// All balancers that need the full state get the same transfer.
+		since = 0
+	}
 	if !replica.Loaded() || !want.Departed && since >= replica.Revision() {
 		if t := n.stateFetch.transfer; t != nil && t.id.from == since && t.id.to > since && !want.Departed {
 			return t, nil
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -22,7 +22,8 @@
 )
 
 // ErrHistoryLost is returned by Store.Watch if the platform's history no longer reaches back
-// to the given revision. A full read is required then.
+// to the given revision, or does not contain it because the platform was restored from an older
+// copy. A full read is required then.
 var ErrHistoryLost = errors.New("source: history is no longer available")
 
 const (
@@ -71,8 +72,6 @@
 // Result is a response of the platform.
 type Result struct {
 	Delta state.Delta
-	// Epoch is the epoch of the platform's store in which it responded.
-	Epoch state.Epoch
 	// Problems describe published items that are invalid and not part of Delta.
 	Problems []error
 }
@@ -194,6 +193,10 @@
 		if err != nil {
 			return Result{}, fmt.Errorf("source: read all published items: %w", err)
 		}
+		if hasRevision && result.Delta.To < since {
+			return Result{}, fmt.Errorf("source: read all published items: platform is at revision %d of epoch %d, which is older than revision %d of epoch %d",
+				result.Delta.To.Counter(), result.Delta.To.Epoch(), since.Counter(), since.Epoch())
+		}
 		w.needsFullRead = false
 		return result, nil
 	}
@@ -208,7 +211,7 @@
 	}
 	result, err := w.config.Store.Watch(ctx, since, wait)
 	if err != nil {
-		return Result{}, fmt.Errorf("source: watch since revision %d: %w", since, err)
+		return Result{}, fmt.Errorf("source: watch since revision %d of epoch %d: %w", since.Counter(), since.Epoch(), err)
 	}
 	return result, nil
 }
--- a/internal/state/replica.go
+++ b/internal/state/replica.go
@@ -60,9 +60,13 @@
 	removals      map[string]Removal
 	routeRemovals map[Endpoint]RouteRemoval
 	configuration *Configuration
-	// minDeltaRevision is the lowest revision from which a delta can be computed, because
-	// the records of all later removals are still present.
+	// minDeltaRevision is the lowest revision of the current epoch from which a delta can be
+	// computed, because the records of all later removals are still present.
 	minDeltaRevision Revision
+	// previousMin and previousEnd limit the revisions of the previous epoch from which a delta
+	// can be computed. previousEnd is where the replica left that epoch, 0 if there is none.
+	// Peers that went further have changes that the current epoch may lack.
+	previousMin, previousEnd Revision
 }
 
 // NewReplica returns an empty replica.
@@ -83,9 +87,28 @@
 // Configuration returns the current configuration, or nil if there is none.
 func (r *Replica) Configuration() *Configuration { return r.configuration }
 
-// CanApply reports whether a delta applies to the replica's revision without a gap.
+// CanApply reports whether a delta applies to the replica's revision without a gap. A delta
+// that leads to a later epoch must start at the very revision: what the replica has learned
+// since may not be part of that epoch.
 func (r *Replica) CanApply(delta Delta) bool {
-	return delta.Full || r.loaded && delta.From <= r.revision
+	switch {
+	case delta.Full:
+		return true
+	case !r.loaded:
+		return false
+	case delta.To.Epoch() > r.revision.Epoch():
+		return delta.From == r.revision
+	}
+	return delta.From <= r.revision
+}
+
+// HasDeltaSince reports whether a delta can be computed from a revision. Otherwise DeltaSince
+// returns a full one.
+func (r *Replica) HasDeltaSince(revision Revision) bool {
+	if revision.Epoch() == r.revision.Epoch() {
+		return revision >= r.minDeltaRevision
+	}
+	return revision.Epoch() == r.previousEnd.Epoch() && revision >= r.previousMin && revision <= r.previousEnd && r.previousEnd > 0
 }
 
 // Apply applies a delta and reports whether it changed the replica. Apply is idempotent
@@ -97,13 +120,24 @@
 	if !r.CanApply(delta) || delta.Full && r.loaded && delta.To < r.revision {
 		return false, nil
 	}
+	if r.loaded && delta.To.Epoch() < r.revision.Epoch() {
+		return r.applyEarlierRemovals(delta.Removals, now), nil
+	}
 	var updated *Configuration
-	if d := delta.ConfigurationDelta; d != nil && r.isNewer(d.Version) {
+	if d := delta.ConfigurationDelta; d != nil && r.isNewer(d.Version, d.Revision) {
 		if updated = r.applyConfigurationDelta(d); updated == nil {
 			return false, fmt.Errorf("state: apply configuration version %d since revision %d: %w", d.Version, delta.From, ErrDigestMismatch)
 		}
 	}
 	changed := !r.loaded
+	entersEpoch := r.loaded && delta.To.Epoch() > r.revision.Epoch()
+	if r.loaded && delta.Full {
+		delta.Backends = r.resolveBackends(delta, entersEpoch)
+		delta.Configuration = resolveConfiguration(delta, entersEpoch)
+	}
+	if entersEpoch {
+		r.previousMin, r.previousEnd, r.minDeltaRevision = r.minDeltaRevision, r.revision, delta.To
+	}
 	if delta.Full {
 		changed = r.removeMissingBackends(delta, now) || changed
 		if !r.loaded {
@@ -120,7 +154,7 @@
 	for index := range delta.Removals {
 		changed = r.applyRemoval(delta.Removals[index], now) || changed
 	}
-	if c := delta.Configuration; c != nil && r.isNewer(c.Version) {
+	if c := delta.Configuration; c != nil && r.isNewer(c.Version, c.Revision) {
 		r.replaceConfiguration(*c, now)
 		changed = true
 	}
@@ -135,9 +169,63 @@
 	return changed, nil
 }
 
-// isNewer reports whether a version is newer than that of the current configuration.
-func (r *Replica) isNewer(version Version) bool {
-	return r.configuration == nil || version > r.configuration.Version
+// isNewer reports whether a configuration with the given version and revision replaces the
+// current one. One that is published again in a later epoch may differ from what was lost.
+func (r *Replica) isNewer(version Version, revision Revision) bool {
+	c := r.configuration
+	return c == nil || version > c.Version || version == c.Version && revision.Epoch() > c.Revision.Epoch()
+}
+
+// resolveBackends returns the backend servers of a full delta, adapted to what the replica has.
+// Revisions of an earlier epoch, and those of the replica if the delta enters an epoch, do not
+// tell which of two entries is newer. In place of them, servers that are equal keep the
+// replica's revision, and those that differ get one of the delta's epoch. Entries that are
+// certainly older than the replica's are replaced or, if the server was removed since, left out.
+func (r *Replica) resolveBackends(delta Delta, entersEpoch bool) []Backend {
+	resolved := make([]Backend, 0, len(delta.Backends))
+	for _, backend := range delta.Backends {
+		if entersEpoch || backend.Revision.Epoch() < delta.To.Epoch() {
+			current, published := r.backends[backend.Name]
+			removal, removed := r.removals[backend.Name]
+			switch {
+			case published && (current.supersedes(&backend) || current.equalIgnoringRevision(&backend)):
+				backend = current
+			case removed && removal.Backend.supersedes(&backend):
+				continue
+			default:
+				backend.Revision = max(backend.Revision, delta.To)
+			}
+		}
+		resolved = append(resolved, backend)
+	}
+	return resolved
+}
+
+// resolveConfiguration returns the configuration of a full delta. If the delta enters an epoch,
+// the routes that differ from the replica's get a revision of that epoch.
+func resolveConfiguration(delta Delta, entersEpoch bool) *Configuration {
+	if !entersEpoch || delta.Configuration == nil {
+		return delta.Configuration
+	}
+	configuration := *delta.Configuration
+	configuration.Revision = max(configuration.Revision, delta.To)
+	configuration.Routes = slices.Clone(configuration.Routes)
+	for index := range configuration.Routes {
+		configuration.Routes[index].Revision = 0
+	}
+	return &configuration
+}
+
+// applyEarlierRemovals stores removals from a balancer that is still in an earlier epoch. They
+// say nothing about servers that are published in the current one.
+func (r *Replica) applyEarlierRemovals(removals []Removal, now time.Time) bool {
+	changed := false
+	for index := range removals {
+		if _, published := r.backends[removals[index].Backend.Name]; !published {
+			changed = r.applyRemoval(removals[index], now) || changed
+		}
+	}
+	return changed
 }
 
 // putBackend stores a backend server unless the replica has a newer revision or a newer
@@ -202,7 +290,7 @@
 // If a removal that the peer needs may have expired, the delta is a full one with all
 // remaining removals.
 func (r *Replica) DeltaSince(revision Revision) Delta {
-	delta := Delta{From: revision, To: r.revision, Full: revision < r.minDeltaRevision}
+	delta := Delta{From: revision, To: r.revision, Full: !r.HasDeltaSince(revision)}
 	for _, backend := range r.backends {
 		if delta.Full || backend.Revision > revision {
 			delta.Backends = append(delta.Backends, backend)
@@ -241,13 +329,19 @@
 func (r *Replica) PruneRemovals(now time.Time) {
 	for name, removal := range r.removals {
 		if now.Sub(removal.RemovedAt) > removalTTL {
-			r.minDeltaRevision = max(r.minDeltaRevision, removal.Revision)
+			r.forgetRemoval(removal.Revision)
 			delete(r.removals, name)
 		}
 	}
 	r.pruneRouteRemovals(now)
 }
 
+// forgetRemoval excludes deltas from before a removal whose record is deleted.
+func (r *Replica) forgetRemoval(revision Revision) {
+	r.minDeltaRevision = max(r.minDeltaRevision, revision)
+	r.previousEnd = 0
+}
+
 // Table builds the lookup table for packet processing.
 func (r *Replica) Table() *Table {
 	removals := make([]Removal, 0, len(r.removals))
--- a/internal/state/routes.go
+++ b/internal/state/routes.go
@@ -243,7 +243,7 @@
 func (r *Replica) pruneRouteRemovals(now time.Time) {
 	for listen, removal := range r.routeRemovals {
 		if now.Sub(removal.RemovedAt) > removalTTL {
-			r.minDeltaRevision = max(r.minDeltaRevision, removal.Revision)
+			r.forgetRemoval(removal.Revision)
 			delete(r.routeRemovals, listen)
 		}
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -6,6 +6,17 @@
 // item with the revision of its last change, so it can compute a delta for any peer that
 // is at an older revision, no matter which balancer read the change from the platform.
 //
+// A platform that was restored from an older copy starts a new epoch, which every revision
+// includes. A replica enters an epoch with a full delta. It stores the items that differ from
+// what it had with revisions of the new epoch and leaves the others as they are, so that peers
+// that were not ahead of it still need only a delta. Knowledge that the copy lacks is kept
+// where it is certain: the newest version of the configuration, which operators publish again,
+// and that a backend server is draining.
+//
+// Comparing counters without an epoch was rejected: after a restore, two replicas with equal
+// counters can differ. Starting an epoch with an empty replica was rejected as well: every
+// balancer would need the full state at once, and would forget which servers are draining.
+//
 // Two alternatives were rejected. Relaying the platform's own bytes would require every
 // receiver to know their format. A log of changes does not help a peer that has been
 // unreachable for long, because it needs the current items anyway.
@@ -18,13 +29,37 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Epoch counts how often the platform's store was restored from an older copy. Revisions of
-// different epochs are not comparable, because a restored store assigns some of them again.
+// Epoch counts how often the platform's store was restored from an older copy.
 type Epoch uint16
 
-// Revision is the platform's counter of changes to published items. It never decreases.
+// Counter is the platform's counter of changes to published items. It increases within an
+// epoch. A restored store continues from the counter of its copy, so it assigns values again
+// that it has already assigned in the previous epoch.
+type Counter uint64
+
+// Revision is a position in the history of the platform's store: the epoch in the upper 16
+// bits and the counter in the lower 48. The order of two revisions is that of the epochs, and
+// within an epoch that of the counters. Counters must not be compared without their epochs.
 type Revision uint64
 
+const (
+	counterBits = 48
+	// MaxCounter is the highest counter that fits into a Revision.
+	MaxCounter Counter = 1<<counterBits - 1
+)
+
+// NewRevision returns the revision with an epoch and a counter, which must not exceed
+// MaxCounter.
+func NewRevision(epoch Epoch, counter Counter) Revision {
+	return Revision(epoch)<<counterBits | Revision(counter)
+}
+
+// Epoch returns the epoch of the revision.
+func (r Revision) Epoch() Epoch { return Epoch(r >> counterBits) }
+
+// Counter returns the platform's counter at the revision.
+func (r Revision) Counter() Counter { return Counter(r) & MaxCounter }
+
 // Version is the number that operators assign to a configuration. It never decreases.
 type Version uint64
 
@@ -100,6 +135,24 @@
 	Revision Revision
 }
 
+// supersedes reports whether another entry of the backend server is certainly older than this
+// one: it is of an earlier start, or says that the server is serving although it is already
+// draining, which is final.
+func (b *Backend) supersedes(other *Backend) bool {
+	if b.Started != other.Started && b.Started != 0 && other.Started != 0 {
+		return b.Started > other.Started
+	}
+	return b.State == Draining && other.State == Serving
+}
+
+// equalIgnoringRevision reports whether two entries are equal in everything but their revision
+// and the rest of the cold start, which depends on when they were read.
+func (b *Backend) equalIgnoringRevision(other *Backend) bool {
+	copied := *other
+	copied.Revision, copied.ColdUntil = b.Revision, b.ColdUntil
+	return *b == copied
+}
+
 // Tag returns the tag of the backend server's flows. It is a hash of the name alone, so
 // that all balancers compute the same tag, including those that start later.
 func (b *Backend) Tag() Tag {
--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -278,7 +278,7 @@
 	}
 	if before.Started != entry.Started && before.Started != 0 && entry.Started != 0 {
 		c.Counters.Restarted.Add(1)
-		c.config.Log.Info("tagged: backend server restarted", "Backend", entry.Name, "Revision", entry.Revision)
+		c.config.Log.Info("tagged: backend server restarted", "Backend", entry.Name, "Revision", entry.Revision.Counter())
 		t.health = health.Health{}
 		c.resetFlows(t, "backend server has started anew", true)
 	}
@@ -371,10 +371,10 @@
 	age := c.now.Sub(c.tableConfirmedAt).String()
 	if t == nil {
 		log.Info(message, "Flow", key.String(), "Reason", reason,
-			"Version", c.table.Version, "Revision", c.table.Revision, "ViewAge", age)
+			"Version", c.table.Version, "Revision", c.table.Revision.Counter(), "ViewAge", age)
 		return
 	}
 	log.Info(message, "Flow", key.String(), "Backend", t.entry.Name, "Reason", reason,
 		"Busy", t.inFlight, "PeerBusy", t.peerInFlight, "Open", t.openFlows, "Health", t.health.State(),
-		"Version", c.table.Version, "Revision", c.table.Revision, "ViewAge", age)
+		"Version", c.table.Version, "Revision", c.table.Revision.Counter(), "ViewAge", age)
 }
--- a/internal/tagged/place.go
+++ b/internal/tagged/place.go
@@ -66,7 +66,7 @@
 func (c *Core) rejectOverload(p *Packet, route *state.Route, pressure policy.Load, admission policy.Admission) Verdict {
 	if log := c.config.DecisionLog; log.Enabled() {
 		log.Info("tagged: flow put off", "Flow", p.Key.String(), "Route", route.Name, "Admission", admission, "Reason", "servers are full",
-			"Busy", pressure.InFlight, "Slots", pressure.Slots, "Copy", p.Retransmits, "Revision", c.table.Revision)
+			"Busy", pressure.InFlight, "Slots", pressure.Slots, "Copy", p.Retransmits, "Revision", c.table.Revision.Counter())
 	}
 	if admission == policy.Refuse {
 		c.Counters.RefusedBusy.Add(1)
