Record removals of servers that a replica has never seen

Callers saw nothing yet: found by a property test for the restored store, in a sequence without a restore. New flows could be placed on a backend server that had left long ago, at some balancers, until its entry changed again; health checks limit the harm.

Cause: a balancer that reads a server's start and removal at once, or reads everything after the removal, has no record of the server, so the delta that it computes for a peer which saw the start lacks the removal; the peer keeps the server as published at a revision at which nobody else has it. A delayed delta of an earlier revision could add such a server, too.

Change: a removal of an unseen server is recorded by name; what a peer knows of the server is added to it, and it never enters the lookup table. After a full read, peers between the replica's previous revision and the read get the full state; the limits for the previous epoch become this one rule. A delta that ends before the replica's revision adds no servers.

TestRevertedRouteChangeIsDetected reads the later versions as a watch does, no longer as a full read: after a full read there is no delta any more whose digest could mismatch. The checks are the same, and it passes on the previous code as well.

TestRemovalOfUnseenServerReachesPeers and TestFullReadLeavesNoRemovedServers fail on the previous code and pass. internal/state, gossip, emul and platform pass.

--- a/internal/state/replica.go
+++ b/internal/state/replica.go
@@ -19,7 +19,8 @@
 
 // Removal records a backend server that is no longer published.
 type Removal struct {
-	// Backend is the server as it was last published.
+	// Backend is the server as it was last published. It has only a name if the replica has
+	// never seen the server, which peers may still have.
 	Backend Backend
 	// Revision is the revision of the removal.
 	Revision Revision
@@ -60,12 +61,12 @@
 	removals      map[string]Removal
 	routeRemovals map[Endpoint]RouteRemoval
 	configuration *Configuration
-	// minDeltaRevision is the lowest revision of the current epoch from which a delta can be
-	// computed, because the records of all later removals are still present.
+	// minDeltaRevision is the lowest revision since the last full delta from which a delta can
+	// be computed, because the records of all later removals are still present.
 	minDeltaRevision Revision
-	// previousMin and previousEnd limit the revisions of the previous epoch from which a delta
-	// can be computed. previousEnd is where the replica left that epoch, 0 if there is none.
-	// Peers that went further have changes that the current epoch may lack.
+	// previousMin and previousEnd limit the revisions before the last full delta from which a
+	// delta can be computed, 0 for none. Peers with a revision in between have changes that the
+	// replica has never seen, and that a restored platform may lack.
 	previousMin, previousEnd Revision
 }
 
@@ -105,10 +106,7 @@
 // HasDeltaSince reports whether a delta can be computed from a revision. Otherwise DeltaSince
 // returns a full one.
 func (r *Replica) HasDeltaSince(revision Revision) bool {
-	if revision.Epoch() == r.revision.Epoch() {
-		return revision >= r.minDeltaRevision
-	}
-	return revision.Epoch() == r.previousEnd.Epoch() && revision >= r.previousMin && revision <= r.previousEnd && r.previousEnd > 0
+	return revision >= r.minDeltaRevision || revision > 0 && revision >= r.previousMin && revision <= r.previousEnd
 }
 
 // Apply applies a delta and reports whether it changed the replica. Apply is idempotent
@@ -120,7 +118,8 @@
 	if !r.CanApply(delta) || delta.Full && r.loaded && delta.To < r.revision {
 		return false, nil
 	}
-	if r.loaded && delta.To.Epoch() < r.revision.Epoch() {
+	if r.loaded && delta.To < r.revision {
+		// The replica may have no record of a server that was removed since.
 		return r.applyEarlierRemovals(delta.Removals, now), nil
 	}
 	var updated *Configuration
@@ -135,7 +134,7 @@
 		delta.Backends = r.resolveBackends(delta, entersEpoch)
 		delta.Configuration = resolveConfiguration(delta, entersEpoch)
 	}
-	if entersEpoch {
+	if entersEpoch || r.loaded && delta.Full && delta.To > r.revision {
 		r.previousMin, r.previousEnd, r.minDeltaRevision = r.minDeltaRevision, r.revision, delta.To
 	}
 	if delta.Full {
@@ -184,14 +183,17 @@
 func (r *Replica) resolveBackends(delta Delta, entersEpoch bool) []Backend {
 	resolved := make([]Backend, 0, len(delta.Backends))
 	for _, backend := range delta.Backends {
+		name := backend.Name
 		if entersEpoch || backend.Revision.Epoch() < delta.To.Epoch() {
-			current, published := r.backends[backend.Name]
-			removal, removed := r.removals[backend.Name]
+			current, published := r.backends[name]
+			removal, removed := r.removals[name]
 			switch {
-			case published && (current.supersedes(&backend) || current.equalIgnoringRevision(&backend)):
+			case published && current.supersedes(&backend):
 				backend = current
 			case removed && removal.Backend.supersedes(&backend):
 				continue
+			case published && current.equalIgnoringRevision(&backend):
+				backend = current
 			default:
 				backend.Revision = max(backend.Revision, delta.To)
 			}
@@ -216,8 +218,8 @@
 	return &configuration
 }
 
-// applyEarlierRemovals stores removals from a balancer that is still in an earlier epoch. They
-// say nothing about servers that are published in the current one.
+// applyEarlierRemovals stores removals from a balancer at an earlier revision. They say nothing
+// about servers that are published at the current one.
 func (r *Replica) applyEarlierRemovals(removals []Removal, now time.Time) bool {
 	changed := false
 	for index := range removals {
@@ -244,11 +246,19 @@
 	return true
 }
 
+// known reports whether the replica knows what was published of the removed server.
+func (r *Removal) known() bool { return r.Backend.Service != "" }
+
 // removeBackend replaces a backend server by its removal if that is not older than the
-// server's revision, and reports whether it did.
+// server's revision, and reports whether it did. The removal of a server that is not published
+// here is recorded for peers on which it is.
 func (r *Replica) removeBackend(name string, revision Revision, now time.Time) bool {
 	current, ok := r.backends[name]
-	if !ok || current.Revision > revision {
+	if !ok {
+		r.recordRemoval(Removal{Backend: Backend{Name: name}, Revision: revision, RemovedAt: now})
+		return false
+	}
+	if current.Revision > revision {
 		return false
 	}
 	delete(r.backends, name)
@@ -263,12 +273,29 @@
 	if _, published := r.backends[name]; published {
 		return r.removeBackend(name, removal.Revision, now)
 	}
-	known, ok := r.removals[name]
-	if ok && known.Revision >= removal.Revision || now.Sub(removal.RemovedAt) > removalTTL {
+	if now.Sub(removal.RemovedAt) > removalTTL {
 		return false
 	}
+	return r.recordRemoval(removal)
+}
+
+// recordRemoval stores the removal of a server that is not published, and reports whether the
+// lookup table changes. Of two removals of a server it keeps the later one, with what either of
+// them knows of the server.
+func (r *Replica) recordRemoval(removal Removal) bool {
+	name := removal.Backend.Name
+	current, ok := r.removals[name]
+	later := !ok || current.Revision < removal.Revision
+	switch {
+	case !later && (current.known() || !removal.known()):
+		return false
+	case later && !removal.known():
+		removal.Backend = cmp.Or(current.Backend, removal.Backend)
+	case !later:
+		removal.Revision = current.Revision
+	}
 	r.removals[name] = removal
-	return true
+	return removal.known()
 }
 
 // removeMissingBackends removes all backend servers that a full delta does not hold.
@@ -339,14 +366,16 @@
 // forgetRemoval excludes deltas from before a removal whose record is deleted.
 func (r *Replica) forgetRemoval(revision Revision) {
 	r.minDeltaRevision = max(r.minDeltaRevision, revision)
-	r.previousEnd = 0
+	r.previousMin, r.previousEnd = 0, 0
 }
 
 // Table builds the lookup table for packet processing.
 func (r *Replica) Table() *Table {
 	removals := make([]Removal, 0, len(r.removals))
 	for _, name := range slices.Sorted(maps.Keys(r.removals)) {
-		removals = append(removals, r.removals[name])
+		if removal := r.removals[name]; removal.known() {
+			removals = append(removals, removal)
+		}
 	}
 	backends := make([]Backend, 0, len(r.backends))
 	for _, name := range slices.Sorted(maps.Keys(r.backends)) {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -70,6 +70,40 @@
 	is.True(!r.DeltaSince(2).Full)
 }
 
+// A replica that reads the start and the removal of a server at once never stores the server.
+// Peers that have it must still learn of the removal.
+func TestRemovalOfUnseenServerReachesPeers(t *testing.T) {
+	is := is.New(t)
+	reader, peer := state.NewReplica(), state.NewReplica()
+	is.True(mustApply(t, reader, state.Delta{Full: true, To: 1}))
+	is.True(mustApply(t, peer, state.Delta{Full: true, To: 2, Backends: []state.Backend{newBackend("a", 2)}}))
+	_ = mustApply(t, reader, state.Delta{From: 1, To: 3, Removed: map[string]state.Revision{"a": 3}})
+	is.Equal(len(reader.Table().Entries()), 0)
+	is.True(mustApply(t, peer, reader.DeltaSince(2)))
+	is.Equal(publishedNames(peer.Table()), "")
+	is.Equal(len(peer.Table().Entries()), 1) // it may still have flows
+	_ = mustApply(t, reader, peer.RemovalDelta())
+	is.Equal(len(reader.Table().Entries()), 1)
+}
+
+// A full read does not say what was removed before it. A peer that is between the replica's
+// previous revision and the read needs the full state, and delayed deltas add nothing.
+func TestFullReadLeavesNoRemovedServers(t *testing.T) {
+	is := is.New(t)
+	reader, peer := state.NewReplica(), state.NewReplica()
+	is.True(mustApply(t, reader, state.Delta{Full: true, To: 1}))
+	is.True(mustApply(t, peer, state.Delta{Full: true, To: 1}))
+	is.True(mustApply(t, peer, state.Delta{From: 1, To: 2, Backends: []state.Backend{newBackend("a", 2)}}))
+	delayed := peer.DeltaSince(1)
+	_ = mustApply(t, reader, state.Delta{Full: true, To: 4}) // a has been removed at 3
+	is.True(!mustApply(t, reader, delayed))
+	is.Equal(publishedNames(reader.Table()), "")
+	is.True(!reader.DeltaSince(1).Full)
+	is.True(reader.DeltaSince(2).Full)
+	is.True(mustApply(t, peer, reader.DeltaSince(2)))
+	is.Equal(publishedNames(peer.Table()), "")
+}
+
 func TestTagCollisionKeepsOlderServer(t *testing.T) {
 	is := is.New(t)
 	olderName, newerName := findTagCollision(t)
@@ -242,7 +276,7 @@
 	is := is.New(t)
 	version := func(number, priority int) state.Delta {
 		revision := state.Revision(10 * number)
-		return state.Delta{Full: true, To: revision, Configuration: &state.Configuration{
+		return state.Delta{Full: number == 1, From: 10, To: revision, Configuration: &state.Configuration{
 			Version: state.Version(number), Revision: revision, Routes: []state.Route{newRoute(1, priority), newRoute(2, 1)},
 		}}
 	}
