Converge after a restore although replicas kept different knowledge

After a second restore a balancer could keep an old entry of a backend server, or a configuration, for good.

Cause: what a replica keeps against an older entry of the platform is not part of the epoch's history, so two balancers with equal revisions can differ until the entry is written again. When that happened across a second restore, the one that had kept its knowledge found its entry equal to the platform's and did not pass it on; a version that operators published again within the epoch was ignored as already known.

Change: the names of such servers are remembered, and their entries, or their absence, get a revision of the new epoch once the platform agrees. A version that is published again counts as a change at its new revision.

--- a/internal/state/epoch_test.go
+++ b/internal/state/epoch_test.go
@@ -1,14 +1,127 @@
 package state_test
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"wigeonmoor.example/internal/state"
 )
 
+// fakePlatform is a platform that can be restored from any earlier copy of itself. Its writers
+// write again what is lost.
+type fakePlatform struct {
+	epoch   state.Epoch
+	current platformCopy
+	copies  []platformCopy
+	// servers holds what the running servers say, version is the newest version of the
+	// configuration and priorities are the priorities of its routes, 0 for no route.
+	servers    map[string]state.Backend
+	version    state.Version
+	priorities []int
+}
+
+// platformCopy is the state of the platform after a write.
+type platformCopy struct {
+	counter       state.Counter
+	backends      map[string]state.Backend
+	removed       map[string]state.Counter
+	configuration *state.Configuration
+}
+
+// write applies a change at the next counter.
+func (p *fakePlatform) write(change func(c *platformCopy, revision state.Revision)) {
+	p.copies = append(p.copies, p.current)
+	p.current.backends, p.current.removed = maps.Clone(p.current.backends), maps.Clone(p.current.removed)
+	p.current.counter++
+	change(&p.current, state.NewRevision(0, p.current.counter))
+}
+
+func (p *fakePlatform) writeServer(backend state.Backend) {
+	p.servers[backend.Name] = backend
+	p.write(func(c *platformCopy, revision state.Revision) {
+		backend.Revision = revision
+		c.backends[backend.Name] = backend
+		delete(c.removed, backend.Name)
+	})
+}
+
+func (p *fakePlatform) removeServer(name string) {
+	delete(p.servers, name)
+	p.write(func(c *platformCopy, _ state.Revision) {
+		delete(c.backends, name)
+		c.removed[name] = c.counter
+	})
+}
+
+func (p *fakePlatform) writeConfiguration() {
+	p.write(func(c *platformCopy, revision state.Revision) {
+		c.configuration = &state.Configuration{Version: p.version, Revision: revision, Routes: newRoutes(p.priorities)}
+	})
+}
+
+// restore goes back by a number of writes.
+func (p *fakePlatform) restore(writes int) {
+	last := max(0, len(p.copies)-writes)
+	if last < len(p.copies) {
+		p.current, p.copies = p.copies[last], p.copies[:last]
+	}
+	p.epoch++
+}
+
+// writeAgain writes what a restore has lost, and removes the entries of servers that have left.
+func (p *fakePlatform) writeAgain() {
+	if c := p.current.configuration; p.version > 0 && (c == nil || c.Version < p.version) {
+		p.writeConfiguration()
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.servers)) {
+		entry, ok := p.current.backends[name]
+		entry.Revision = 0
+		if !ok || entry != p.servers[name] {
+			p.writeServer(p.servers[name])
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.current.backends)) {
+		if _, running := p.servers[name]; !running {
+			p.removeServer(name)
+		}
+	}
+}
+
+// deltaSince returns what a replica reads.
+func (p *fakePlatform) deltaSince(r *state.Replica) state.Delta {
+	inEpoch := func(counter state.Counter) state.Revision { return state.NewRevision(p.epoch, counter) }
+	delta := state.Delta{From: r.Revision(), To: inEpoch(p.current.counter), Removed: make(map[string]state.Revision)}
+	since := r.Revision().Counter()
+	if !r.Loaded() || r.Revision().Epoch() != p.epoch {
+		delta.Full, since = true, 0
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.current.backends)) {
+		backend := p.current.backends[name]
+		if backend.Revision.Counter() > since {
+			backend.Revision = inEpoch(backend.Revision.Counter())
+			delta.Backends = append(delta.Backends, backend)
+		}
+	}
+	for name, counter := range p.current.removed {
+		if !delta.Full && counter > since {
+			delta.Removed[name] = inEpoch(counter)
+		}
+	}
+	if c := p.current.configuration; c != nil && c.Revision.Counter() > since {
+		copied := *c
+		copied.Revision = inEpoch(c.Revision.Counter())
+		delta.Configuration = &copied
+	}
+	return delta
+}
+
 // describe returns the published servers with their states.
 func describe(table *state.Table) string {
 	text := ""
@@ -20,6 +133,92 @@
 	return text
 }
 
+// Replicas that read a platform which is restored again and again, and exchange deltas late and
+// out of order, converge to what its writers have written last. No version decreases.
+func TestPropertyReplicasConvergeAfterRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &fakePlatform{epoch: 1, servers: make(map[string]state.Backend), current: platformCopy{counter: 1}}
+		p.current.backends, p.current.removed = make(map[string]state.Backend), make(map[string]state.Counter)
+		var replicas []*state.Replica
+		for range 4 {
+			replicas = append(replicas, state.NewReplica())
+		}
+		type message struct {
+			to    *state.Replica
+			delta state.Delta
+		}
+		var delayed []message
+		for started := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
+			replica := replicas[rapid.IntRange(0, 3).Draw(t, "replica")]
+			switch rapid.SampledFrom([]string{"start", "drain", "remove", "configure", "restore", "write again", "read", "read", "send", "send", "receive", "receive", "forget"}).Draw(t, "step") {
+			case "start":
+				backend := newBackend(name, 0)
+				backend.Started = int64(started + 1)
+				p.writeServer(backend)
+			case "drain":
+				if backend, running := p.servers[name]; running {
+					backend.State = state.Draining
+					p.writeServer(backend)
+				}
+			case "remove":
+				p.removeServer(name)
+			case "configure":
+				p.version += 3
+				p.priorities = rapid.SliceOfN(rapid.IntRange(0, 2), 5, 5).Draw(t, "routes")
+				p.writeConfiguration()
+			case "restore":
+				p.restore(rapid.IntRange(0, 12).Draw(t, "writes"))
+			case "write again":
+				p.writeAgain()
+			case "read":
+				tryApply(t, replica, p.deltaSince(replica))
+			case "send":
+				to := replicas[rapid.IntRange(0, 3).Draw(t, "to")]
+				if !replica.Loaded() || replica.Revision() <= to.Revision() {
+					continue
+				}
+				delayed = append(delayed, message{to, replica.DeltaSince(to.Revision())})
+			case "receive":
+				if len(delayed) > 0 {
+					index := rapid.IntRange(0, len(delayed)-1).Draw(t, "message")
+					tryApply(t, delayed[index].to, delayed[index].delta)
+				}
+			case "forget":
+				replica.PruneRemovals(start.Add(time.Hour))
+			}
+		}
+		p.writeAgain()
+		reader := replicas[0]
+		tryApply(t, reader, p.deltaSince(reader))
+		for number, replica := range replicas {
+			if replica.Revision() < reader.Revision() {
+				since := state.Revision(0)
+				if replica.Loaded() {
+					since = replica.Revision()
+				}
+				if !tryApply(t, replica, reader.DeltaSince(since)) {
+					tryApply(t, replica, reader.DeltaSince(0))
+				}
+			}
+			if got, want := describe(replica.Table()), describe(state.NewTable(0, nil, slices.SortedFunc(maps.Values(p.servers), byName), nil)); got != want {
+				t.Fatalf("replica %d has the servers %q, want %q", number, got, want)
+			}
+			if c := replica.Configuration(); p.version > 0 && (c == nil || c.Version != p.version || describeRoutes(replica) != describeNewRoutes(p.priorities)) {
+				t.Fatalf("replica %d has the routes %q, want %q", number, describeRoutes(replica), describeNewRoutes(p.priorities))
+			}
+		}
+	})
+}
+
+func byName(a, b state.Backend) int { return cmp.Compare(a.Name, b.Name) }
+
+func describeNewRoutes(priorities []int) string {
+	r := state.NewReplica()
+	_, _ = r.Apply(state.Delta{Full: true, To: 1, Configuration: &state.Configuration{Version: 1, Revision: 1, Routes: newRoutes(priorities)}}, start)
+	return describeRoutes(r)
+}
+
 // A server that is known to be draining, or to have left after draining, gets no new flows
 // because a restored platform has its entry of before.
 func TestRestoredEntryDoesNotEndDraining(t *testing.T) {
--- a/internal/state/replica.go
+++ b/internal/state/replica.go
@@ -68,6 +68,10 @@
 	// delta can be computed, 0 for none. Peers with a revision in between have changes that the
 	// replica has never seen, and that a restored platform may lack.
 	previousMin, previousEnd Revision
+	// retained holds the names of the backend servers of which the platform has an entry that
+	// is certainly older than what the replica knows. Peers with the same revision may have
+	// that entry.
+	retained map[string]bool
 }
 
 // NewReplica returns an empty replica.
@@ -76,6 +80,7 @@
 		backends:      make(map[string]Backend),
 		removals:      make(map[string]Removal),
 		routeRemovals: make(map[Endpoint]RouteRemoval),
+		retained:      make(map[string]bool),
 	}
 }
 
@@ -169,10 +174,11 @@
 }
 
 // isNewer reports whether a configuration with the given version and revision replaces the
-// current one. One that is published again in a later epoch may differ from what was lost.
+// current one. Operators publish a version again that a restored platform has lost, which peers
+// need even if they have the same revision as the replica.
 func (r *Replica) isNewer(version Version, revision Revision) bool {
 	c := r.configuration
-	return c == nil || version > c.Version || version == c.Version && revision.Epoch() > c.Revision.Epoch()
+	return c == nil || version > c.Version || version == c.Version && revision > c.Revision
 }
 
 // resolveBackends returns the backend servers of a full delta, adapted to what the replica has.
@@ -182,17 +188,21 @@
 // certainly older than the replica's are replaced or, if the server was removed since, left out.
 func (r *Replica) resolveBackends(delta Delta, entersEpoch bool) []Backend {
 	resolved := make([]Backend, 0, len(delta.Backends))
+	present := make(map[string]bool, len(delta.Backends))
 	for _, backend := range delta.Backends {
 		name := backend.Name
+		present[name] = true
 		if entersEpoch || backend.Revision.Epoch() < delta.To.Epoch() {
 			current, published := r.backends[name]
 			removal, removed := r.removals[name]
 			switch {
 			case published && current.supersedes(&backend):
+				r.retained[name] = true
 				backend = current
 			case removed && removal.Backend.supersedes(&backend):
+				r.retained[name] = true
 				continue
-			case published && current.equalIgnoringRevision(&backend):
+			case published && current.equalIgnoringRevision(&backend) && !r.retained[name]:
 				backend = current
 			default:
 				backend.Revision = max(backend.Revision, delta.To)
@@ -200,6 +210,13 @@
 		}
 		resolved = append(resolved, backend)
 	}
+	for name := range r.retained {
+		if removal, removed := r.removals[name]; removed && !present[name] {
+			removal.Revision = max(removal.Revision, delta.To)
+			r.removals[name] = removal
+			delete(r.retained, name)
+		}
+	}
 	return resolved
 }
 
@@ -243,6 +260,7 @@
 		delete(r.removals, backend.Name)
 	}
 	r.backends[backend.Name] = backend
+	delete(r.retained, backend.Name)
 	return true
 }
 
@@ -262,6 +280,7 @@
 		return false
 	}
 	delete(r.backends, name)
+	delete(r.retained, name)
 	r.removals[name] = Removal{Backend: current, Revision: revision, RemovedAt: now}
 	return true
 }
@@ -358,6 +377,7 @@
 		if now.Sub(removal.RemovedAt) > removalTTL {
 			r.forgetRemoval(removal.Revision)
 			delete(r.removals, name)
+			delete(r.retained, name)
 		}
 	}
 	r.pruneRouteRemovals(now)
