Bring a large fleet into a new epoch by deltas, not by the full state

Callers saw, in the model only: with 300 balancers, 9,000 backend servers and a copy that lacks 1,000 of them, a configuration change after the restore was not in force on one balancer after 4 s, and on 29 after 0.8 s.

Cause: the two readers enter the epoch at different revisions, and whoever enters at a later one knows nothing of the removals before, so it answers balancers at the earlier one with the full state, 300 KB at the rate of one sender. Besides, a balancer that had received some parts of a transfer asked for the rest by the transfer's identity, which only those who had already made that very transfer could answer; the last one behind repeated the first parts over and over.

Change: a balancer refuses to send the full state to one of its epoch in the first second after it has entered the epoch; the asker turns to another one that can send a delta. A balancer at the revision to which a transfer leads computes it when asked, as the same items are split into the same parts.

The tests of gossip, state and platform pass.

--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -38,6 +38,10 @@
 	// each is kept after its last use.
 	maxOffers = 4
 	offerTTL  = 3 * time.Second
+	// epochFullDelay is the time after entering an epoch during which a balancer refuses
+	// requests that it can answer only with the full state. Other balancers have entered the
+	// epoch earlier and can send a delta.
+	epochFullDelay = time.Second
 )
 
 // request is the unsent remainder of a peer's request.
@@ -103,25 +107,43 @@
 
 // transferFor returns the transfer that answers a request, nil if there is none.
 func (n *Node) transferFor(want *wire.Want, now time.Time) (*transfer, error) {
-	if want.Transfer != nil {
-		return n.findTransfer(decodeTransferID(want.Transfer)), nil
-	}
-	replica := n.config.Replica
 	since := state.Revision(want.Revision)
-	if since < replica.Revision() && !replica.HasDeltaSince(since) {
-		// All balancers that need the full state get the same transfer.
-		since = 0
+	if want.Transfer == nil {
+		return n.transferSince(since, want.Departed, now)
+	}
+	id := decodeTransferID(want.Transfer)
+	if t := n.findTransfer(id); t != nil || id.removalsOnly || id.to != n.config.Replica.Revision() {
+		return t, nil
+	}
+	// Balancers with the same items split them into the same parts.
+	t, err := n.transferSince(id.from, false, now)
+	if t == nil || t.id != id {
+		return nil, err
 	}
-	if !replica.Loaded() || !want.Departed && since >= replica.Revision() {
-		if t := n.stateFetch.transfer; t != nil && t.id.from == since && t.id.to > since && !want.Departed {
+	return t, nil
+}
+
+// transferSince returns a transfer of the removals, or of what has changed since a revision. It
+// returns nil if there is nothing to send, or if other balancers can send less.
+func (n *Node) transferSince(since state.Revision, removalsOnly bool, now time.Time) (*transfer, error) {
+	replica := n.config.Replica
+	if !replica.Loaded() || !removalsOnly && since >= replica.Revision() {
+		if t := n.stateFetch.transfer; t != nil && t.id.from == since && t.id.to > since && !removalsOnly {
 			return t, nil
 		}
 		return nil, nil
 	}
-	if want.Departed {
+	if removalsOnly {
 		delta := replica.RemovalDelta()
 		return split(&delta, true, now)
 	}
+	if since > 0 && !replica.HasDeltaSince(since) {
+		if since.Epoch() == replica.Revision().Epoch() && now.Sub(replica.EnteredEpochAt()) < epochFullDelay {
+			return nil, nil
+		}
+		// All balancers that need the full state get the same transfer.
+		since = 0
+	}
 	if t := n.findOfferSince(since, now); t != nil {
 		return t, nil
 	}
--- a/internal/gossip/transfer_test.go
+++ b/internal/gossip/transfer_test.go
@@ -129,6 +129,61 @@
 	is.True(float64(f.maxSentBytes()) < took.Seconds()*(float64(gossip.DefaultTransferRate)+25_000))
 }
 
+// Two readers of a restored platform enter its new epoch at different revisions, while a
+// thousand of 9,000 backend servers publish their entries again. Changes must still take effect
+// on all balancers in time.
+func TestRestoredStoreReachesLargeFleet(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes several seconds")
+	}
+	is := is.New(t)
+	const servers, lost, step = 9000, 1000, 100
+	f := newFleet(300, 24)
+	before := fullDelta(20_000, 2, servers, 3000)
+	f.applyPlatformDelta(17, before)
+	f.advance(16 * time.Second)
+	is.Equal(f.countBehind(20_000), 0)
+	f.linkRate, f.maxWait = slowLinkRate, 0
+	f.resetSentBytes()
+	// read returns what a reader gets when the first count lost entries are published again.
+	read := func(count int) state.Delta {
+		delta := fullDelta(state.NewRevision(1, state.Counter(15_000+count)), 2, servers, 3000)
+		delta.Backends = append(delta.Backends[:count:count], delta.Backends[lost:]...)
+		for index := range delta.Backends {
+			delta.Backends[index].Revision = state.NewRevision(1, 1)
+			if index < count {
+				delta.Backends[index].Revision = state.NewRevision(1, state.Counter(15_000+index+1))
+			}
+		}
+		return delta
+	}
+	f.applyPlatformDelta(17, read(0))
+	for count := step; count <= lost; count += step {
+		f.advance(200 * time.Millisecond)
+		all := read(count)
+		changes := state.Delta{From: all.To - step, To: all.To, Backends: all.Backends[count-step : count]}
+		f.applyPlatformDelta(17, changes)
+		switch {
+		case count == 2*step:
+			f.applyPlatformDelta(18, all)
+		case count > 2*step:
+			f.applyPlatformDelta(18, changes)
+		}
+	}
+	last := state.NewRevision(1, 15_000+lost+1)
+	change := state.Delta{From: last - 1, To: last, Configuration: fullDelta(last, 3, 0, 3001).Configuration}
+	f.applyPlatformDelta(17, change)
+	f.applyPlatformDelta(18, change)
+	took := f.advanceUntilReached(last, maxSpreadTime)
+	t.Logf("reached %s after the last change, longest wait on a link %s, busiest node sent %d bytes", took, f.maxWait, f.maxSentBytes())
+	is.Equal(f.countBehind(last), 0)
+	is.True(f.maxWait < maxLinkWait)
+	for _, n := range f.liveNodes() {
+		is.Equal(len(n.replica.Table().Service("service-1")), servers/9)
+		is.Equal(n.replica.Configuration().Version, state.Version(3))
+	}
+}
+
 // BenchmarkCapacityFullView measures how long 9,000 backend servers and 3,000 routes take
 // to reach a fleet over links of 10 Mbit/s, and the bytes sent.
 func BenchmarkCapacityFullView(b *testing.B) {
--- a/internal/state/replica.go
+++ b/internal/state/replica.go
@@ -68,6 +68,7 @@
 	// delta can be computed, 0 for none. Peers with a revision in between have changes that the
 	// replica has never seen, and that a restored platform may lack.
 	previousMin, previousEnd Revision
+	enteredEpochAt           time.Time
 	// retained holds the names of the backend servers of which the platform has an entry that
 	// is certainly older than what the replica knows. Peers with the same revision may have
 	// that entry.
@@ -87,6 +88,10 @@
 // Revision returns the revision that the replica has reached.
 func (r *Replica) Revision() Revision { return r.revision }
 
+// EnteredEpochAt returns when the replica moved on from an earlier epoch to the current one, the
+// zero time if it has seen only one epoch.
+func (r *Replica) EnteredEpochAt() time.Time { return r.enteredEpochAt }
+
 // Loaded reports whether the replica has ever applied a full delta.
 func (r *Replica) Loaded() bool { return r.loaded }
 
@@ -139,6 +144,9 @@
 		delta.Backends = r.resolveBackends(delta, entersEpoch)
 		delta.Configuration = resolveConfiguration(delta, entersEpoch)
 	}
+	if entersEpoch {
+		r.enteredEpochAt = now
+	}
 	if entersEpoch || r.loaded && delta.Full && delta.To > r.revision {
 		r.previousMin, r.previousEnd, r.minDeltaRevision = r.minDeltaRevision, r.revision, delta.To
 	}
