Let the soak restore the store from an older copy

The copy is 0.2 to 9 s old. Operators and running servers write again what is lost within 2 s, lost removals are repeated when the entries expire.

--- a/wigeonlab/internal/soak/plan.go
+++ b/wigeonlab/internal/soak/plan.go
@@ -4,6 +4,7 @@
 // window, so that a run can be repeated. Steps may overlap.
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -21,6 +22,7 @@
 	Freeze       Kind = "Freeze"       // SIGSTOP to a balancer, and SIGCONT later
 	StoreLink    Kind = "StoreLink"    // fault of the link between one balancer and the store
 	StoreDown    Kind = "StoreDown"    // the store refuses all calls
+	StoreRestore Kind = "StoreRestore" // the store refuses all calls, and then continues from an older copy
 	StoreSlow    Kind = "StoreSlow"    // delay on the links between all balancers and the store
 	PeerLink     Kind = "PeerLink"     // fault of the link from the peers to one balancer
 	DomainCut    Kind = "DomainCut"    // network partition between a failure domain's balancers and the others
@@ -107,7 +109,36 @@
 			Selector: random.Uint32(), Style: styles[random.IntN(len(styles))],
 		})
 	}
-	return append(steps, growthSteps(seed, faultWindow)...)
+	steps = append(steps, growthSteps(seed, faultWindow)...)
+	if restores := restoreSteps(seed, faultWindow); len(restores) > 0 {
+		steps = append(steps, restores...)
+		slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	}
+	return steps
+}
+
+// firstRestoreSeed is the first seed whose plan includes the steps of restoreSteps.
+const firstRestoreSeed = 2000
+
+// restoreSteps draws two restores of the store, each soon after changes of the routes and
+// followed by another one. Plans that have planned work only have none.
+func restoreSteps(seed uint64, faultWindow time.Duration) []Step {
+	if seed < firstRestoreSeed || plannedOnly(seed) {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(seed, 3))
+	var steps []Step
+	for range 2 {
+		at := time.Duration(random.Int64N(int64(faultWindow)))
+		restore := Step{Kind: StoreRestore, At: at, Duration: time.Duration(200+random.IntN(3000)) * time.Millisecond, Selector: random.Uint32()}
+		end := at + restore.Duration
+		steps = append(steps, restore,
+			Step{Kind: RouteStorm, At: max(0, at-time.Duration(random.IntN(2500))*time.Millisecond)},
+			Step{Kind: RouteAdd, At: end + time.Duration(random.IntN(3000))*time.Millisecond},
+			Step{Kind: RouteDrop, At: end + time.Duration(random.IntN(3000))*time.Millisecond},
+		)
+	}
+	return steps
 }
 
 // firstGrowthSeed is the first seed whose plan includes the steps of growthSteps. The plans of
--- a/wigeonlab/internal/soak/steps.go
+++ b/wigeonlab/internal/soak/steps.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"syscall"
 	"time"
 
@@ -28,6 +30,10 @@
 	slowLinkRate = 40_000
 	// slowStoreDelay is added in each direction between balancers and a slow store.
 	slowStoreDelay = 250 * time.Millisecond
+	// minCopyAge and maxCopyAge limit the age of the copy that a restored store continues
+	// from. maxRewriteDelay is the time within which its writers write again what is lost.
+	minCopyAge, maxCopyAge = 200 * time.Millisecond, 9 * time.Second
+	maxRewriteDelay        = 2 * time.Second
 	// killManyFraction is the fraction of the balancers that a KillMany step kills.
 	killManyFraction = 0.6
 	// grownRouteCount is the number of routes that a RouteGrowth step adds at once.
@@ -153,6 +159,8 @@
 		e.store.SetDown(true)
 		pause(ctx, step.Duration)
 		e.store.SetDown(false)
+	case StoreRestore:
+		e.restoreStore(ctx, step)
 	case StoreSlow:
 		injectFault(ctx, step.Duration, proxy.Fault{Delay: slowStoreDelay}, e.setStoreFault)
 	case PeerLink:
@@ -211,6 +219,29 @@
 	return nil
 }
 
+// restoreStore makes the store unavailable for the step's duration and replaces its state by an
+// older copy. The operators and the running servers then write again what is lost; lost removals
+// of servers are repeated when their entries expire.
+func (e *environment) restoreStore(ctx context.Context, step Step) {
+	random := rand.New(rand.NewPCG(uint64(step.Selector), 4))
+	e.store.SetDown(true)
+	pause(ctx, step.Duration)
+	lost := e.store.Restore(minCopyAge + time.Duration(random.Int64N(int64(maxCopyAge-minCopyAge))))
+	e.store.SetDown(false)
+	var writes sync.WaitGroup
+	for _, item := range lost {
+		delay := time.Duration(random.Int64N(int64(maxRewriteDelay)))
+		if item.Tombstone {
+			delay = entryExpiryDelay
+		}
+		writes.Go(func() {
+			pause(ctx, delay)
+			e.store.WriteAgain(item.Key)
+		})
+	}
+	writes.Wait()
+}
+
 // killBalancers sends SIGKILL to balancers and starts them again after half of the step's
 // duration.
 func (e *environment) killBalancers(ctx context.Context, step Step) error {
