Exempt packets that are misrouted while a restored store has lost entries

The trace: two addresses are reused while the store refuses all calls, and the restore loses the writes that say so; the balancers hear of them when the entries are written again, up to 2 s later, and within 30 ms of that log that the addresses belong to other servers. Until then no balancer can know; the platform allows it, as the number in front of each packet keeps it from being accepted by another server.

The check is as strict as before outside of restores: only packets that arrive between the begin of a restore and 3 s after its writes are exempt.

--- a/wigeonlab/internal/soak/soak.go
+++ b/wigeonlab/internal/soak/soak.go
@@ -147,6 +147,9 @@
 	defer e.mutex.Unlock()
 	h := e.history
 	h.Steps, h.Servers, h.Routes = slices.Clone(h.Steps), slices.Clone(h.Servers), slices.Clone(e.routes)
+	if e.restores > 0 {
+		e.exemptMisrouted(h.Servers)
+	}
 	return &h
 }
 
--- a/wigeonlab/internal/soak/steps.go
+++ b/wigeonlab/internal/soak/steps.go
@@ -224,6 +224,8 @@
 // of servers are repeated when their entries expire.
 func (e *environment) restoreStore(ctx context.Context, step Step) {
 	random := rand.New(rand.NewPCG(uint64(step.Selector), 4))
+	e.beginRestore()
+	defer func() { go e.endRestore(ctx) }()
 	e.store.SetDown(true)
 	pause(ctx, step.Duration)
 	lost := e.store.Restore(minCopyAge + time.Duration(random.Int64N(int64(maxCopyAge-minCopyAge))))
@@ -242,6 +244,40 @@
 	writes.Wait()
 }
 
+// beginRestore remembers the servers' counts of misrouted packets.
+func (e *environment) beginRestore() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.restores == 0 {
+		e.misroutedBefore = make(map[*proxiedServer]int64)
+		for _, s := range e.servers {
+			e.misroutedBefore[s] = s.MisroutedPackets.Load()
+		}
+	}
+	e.restores++
+}
+
+// endRestore makes the exemption of misrouted packets permanent once the changes of a restore
+// have spread.
+func (e *environment) endRestore(ctx context.Context) {
+	pause(ctx, drainPropagationLimit)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.restores == 1 {
+		e.exemptMisrouted(e.history.Servers)
+	}
+	e.restores--
+}
+
+// exemptMisrouted exempts the packets that were misrouted since a restore began. Balancers cannot
+// know that an address was reused if the store has lost the entries that say so; the number in
+// front of each packet keeps it from being accepted. The caller must hold the mutex.
+func (e *environment) exemptMisrouted(records []ServerRecord) {
+	for _, s := range e.servers {
+		records[s.number-1].ExemptPackets += s.MisroutedPackets.Load() - e.misroutedBefore[s]
+	}
+}
+
 // killBalancers sends SIGKILL to balancers and starts them again after half of the step's
 // duration.
 func (e *environment) killBalancers(ctx context.Context, step Step) error {
--- a/wigeonlab/internal/soak/world.go
+++ b/wigeonlab/internal/soak/world.go
@@ -62,6 +62,10 @@
 	servers       []*proxiedServer
 	routes        []Route
 	configVersion int
+	// restores is the number of StoreRestore steps in progress. misroutedBefore holds the
+	// servers' counts of misrouted packets from before the first of them.
+	restores        int
+	misroutedBefore map[*proxiedServer]int64
 	// lastPort is the port of the caller that opened the latest flow.
 	lastPort int
 }
