Owned: read a restored platform anew, and compare values by content

After a restore of the configuration service, balancers with the Owned binding would not see a new list of balancers until its version had passed the one that they had, and a configuration published afterwards could contain values of the lost history.

A watch waits for a version above the one that it has read, which a restored service assigns again; and values with equal names and versions were taken for equal when a bundle was read, relayed and compiled. Class: a version that is compared across a restore.

Change: responses of the service have an Epoch header, and a watch says in which epoch its version was assigned, so that it is answered at once in another one. After a change of epoch all values of the next configuration are read again. Bundles are compared by version and content. The configuration in force stays, as its versions never decrease; an older index is reported with the version that operators have to exceed. A service without the header works as before.

--- a/internal/config/bundle.go
+++ b/internal/config/bundle.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wigeonmoor.example/internal/flow"
 )
 
@@ -284,10 +286,10 @@
 // ChangesSince returns the differences from an earlier bundle to this one.
 func (b Bundle) ChangesSince(earlier Bundle) Changes {
 	var changes Changes
-	before := earlier.versions()
+	before := earlier.identities()
 	for _, value := range b.Values {
-		version, known := before[value.Name]
-		if !known || version != value.Version {
+		identity, known := before[value.Name]
+		if !known || identity != value.identity() {
 			changes.Changed = append(changes.Changed, value)
 		}
 		delete(before, value.Name)
@@ -300,20 +302,29 @@
 	return changes
 }
 
-// versions returns the version of each value.
-func (b Bundle) versions() map[ValueName]Version {
-	versions := make(map[ValueName]Version, len(b.Values))
+// identity identifies the content of a value. The version alone does not: a platform that was
+// restored from an older copy may assign it again.
+type identity struct {
+	version Version
+	digest  uint64
+}
+
+func (v Value) identity() identity { return identity{v.Version, xxhash.Sum64(v.Data)} }
+
+// identities returns the identity of each value.
+func (b Bundle) identities() map[ValueName]identity {
+	identities := make(map[ValueName]identity, len(b.Values))
 	for _, value := range b.Values {
-		versions[value.Name] = value.Version
+		identities[value.Name] = value.identity()
 	}
-	return versions
+	return identities
 }
 
 // WithChanges returns a copy of the bundle with the changes applied and a new index with the
 // given version and seed.
 func (b Bundle) WithChanges(changes Changes, version Version, seed flow.Seed) (Bundle, error) {
 	result := Bundle{}
-	replaced := Bundle{Values: changes.Changed}.versions()
+	replaced := Bundle{Values: changes.Changed}.identities()
 	for _, value := range b.Values {
 		_, changed := replaced[value.Name]
 		if !changed && !slices.Contains(changes.Removed, value.Name) {
--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -104,10 +104,10 @@
 	if previous == nil {
 		return func(string) *CompiledService { return nil }
 	}
-	before, after := previous.Bundle.versions(), b.versions()
+	before, after := previous.Bundle.identities(), b.identities()
 	return func(name string) *CompiledService {
 		value := ValueName(servicePrefix + name)
-		same := after[value] != 0 && before[value] == after[value] && before[DomainsName] == after[DomainsName]
+		same := after[value].version != 0 && before[value] == after[value] && before[DomainsName] == after[DomainsName]
 		if !same {
 			return nil
 		}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -4,6 +4,11 @@
 // query parameters After=V and Wait=DURATION it is a long poll: the service responds as soon
 // as the value has a version newer than V, or with status 304 after the duration.
 //
+// A service that was restored from an older copy may assign versions again. All its responses
+// have an Epoch header, which increases with each restore. The query parameter Epoch names the
+// epoch of V; if it is not the current one, the service responds at once with the value that it
+// has. A service without this header has a single epoch, 0.
+//
 // Only a few balancers in each failure domain use long polls. The others receive new
 // versions from their peers and poll the platform only occasionally. Long polls in every
 // balancer were rejected: with 1,300 balancers each change would cause 1,300 simultaneous
@@ -38,6 +43,13 @@
 // VersionHeader names the HTTP header that carries a value's version.
 const VersionHeader = "Version"
 
+// EpochHeader names the HTTP header that carries the epoch of the platform, and the query
+// parameter that carries the epoch of the caller's version.
+const EpochHeader = "Epoch"
+
+// Epoch counts how often the platform was restored from an older copy.
+type Epoch uint64
+
 // errUnchanged is returned if there is no newer version of a value.
 var errUnchanged = errors.New("watch: no newer version of the value")
 
@@ -76,6 +88,11 @@
 type Watcher struct {
 	*Client
 	settings Config
+	// indexEpoch is the epoch in which the latest index was read, 0 before the first. restored
+	// is set from a change of it until a bundle has been read. Only the goroutine that watches
+	// the index uses them.
+	indexEpoch Epoch
+	restored   bool
 }
 
 // New starts a Watcher.
@@ -93,20 +110,25 @@
 
 // watchValue reads a value repeatedly and passes each new version to handle. If handle returns
 // an error, the same version is read again.
-func (w *Watcher) watchValue(ctx context.Context, name config.ValueName, handle func(context.Context, config.Value) error) {
+func (w *Watcher) watchValue(ctx context.Context, name config.ValueName, handle func(context.Context, response) error) {
 	var lastVersion config.Version
+	var lastEpoch Epoch
 	for ctx.Err() == nil {
 		wait := time.Duration(0)
 		if lastVersion > 0 && w.settings.IsReader() {
 			wait = watchTimeout
 		}
-		value, err := w.Get(ctx, name, lastVersion, wait)
+		read, err := w.get(ctx, name, position{lastEpoch, lastVersion}, wait)
 		if err == nil {
-			err = handle(ctx, value)
+			err = handle(ctx, read)
 		}
 		switch {
 		case err == nil:
-			lastVersion = value.Version
+			lastVersion, lastEpoch = read.value.Version, read.epoch
+		case errors.Is(err, errUnchanged) && read.epoch != lastEpoch:
+			// The platform does not know the parameter, but has been restored.
+			lastVersion, lastEpoch = 0, read.epoch
+			continue
 		case !errors.Is(err, errUnchanged):
 			w.settings.OnError(err)
 			sleepWithJitter(ctx, retryInterval)
@@ -129,39 +151,69 @@
 	}
 }
 
+// position is a version of a value with the epoch in which it was assigned.
+type position struct {
+	epoch   Epoch
+	version config.Version
+}
+
+// response is a value with the epoch in which it was read.
+type response struct {
+	value config.Value
+	epoch Epoch
+}
+
 // Get reads a value. If it has no version newer than the given one, Get waits for one up to
 // the given duration, and then returns an error.
 func (c *Client) Get(ctx context.Context, name config.ValueName, after config.Version, wait time.Duration) (config.Value, error) {
+	read, err := c.get(ctx, name, position{version: after}, wait)
+	return read.value, err
+}
+
+// get reads a value like Get. If it returns errUnchanged, the response has the epoch.
+func (c *Client) get(ctx context.Context, name config.ValueName, after position, wait time.Duration) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+requestTimeout)
 	defer cancel()
-	query := url.Values{"After": {strconv.FormatUint(uint64(after), 10)}, "Wait": {wait.String()}}
+	query := url.Values{"After": {strconv.FormatUint(uint64(after.version), 10)}, "Wait": {wait.String()}}
+	if after.epoch > 0 {
+		query.Set(EpochHeader, strconv.FormatUint(uint64(after.epoch), 10))
+	}
 	address := c.url + "/v1/values/" + string(name) + "?" + query.Encode()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
-		return config.Value{}, fmt.Errorf("watch: get %s: %w", name, err)
+		return response{}, fmt.Errorf("watch: get %s: %w", name, err)
 	}
-	response, err := c.client.Do(request)
+	reply, err := c.client.Do(request)
 	if err != nil {
-		return config.Value{}, fmt.Errorf("watch: get %s: %w", name, err)
+		return response{}, fmt.Errorf("watch: get %s: %w", name, err)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	var read response
+	if text := reply.Header.Get(EpochHeader); text != "" {
+		epoch, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return response{}, fmt.Errorf("watch: get %s: header %s: %w", name, EpochHeader, err)
+		}
+		read.epoch = Epoch(epoch)
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode == http.StatusNotModified {
-		return config.Value{}, errUnchanged
+	if reply.StatusCode == http.StatusNotModified {
+		return read, errUnchanged
 	}
-	if response.StatusCode != http.StatusOK {
-		return config.Value{}, fmt.Errorf("watch: get %s from %s: status %s", name, c.url, response.Status)
+	if reply.StatusCode != http.StatusOK {
+		return response{}, fmt.Errorf("watch: get %s from %s: status %s", name, c.url, reply.Status)
 	}
-	return readValue(name, response)
+	read.value, err = readValue(name, reply)
+	return read, err
 }
 
 // readValue reads a value from a response. It stops one byte after config.MaxValueBytes, which
 // suffices for config.Decode to reject the value.
-func readValue(name config.ValueName, response *http.Response) (config.Value, error) {
-	version, err := strconv.ParseUint(response.Header.Get(VersionHeader), 10, 64)
+func readValue(name config.ValueName, reply *http.Response) (config.Value, error) {
+	version, err := strconv.ParseUint(reply.Header.Get(VersionHeader), 10, 64)
 	if err != nil {
 		return config.Value{}, fmt.Errorf("watch: get %s: header %s: %w", name, VersionHeader, err)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, config.MaxValueBytes+1))
+	data, err := io.ReadAll(io.LimitReader(reply.Body, config.MaxValueBytes+1))
 	if err != nil {
 		return config.Value{}, fmt.Errorf("watch: get %s: read body: %w", name, err)
 	}
@@ -169,40 +221,53 @@
 }
 
 // handleInstances decodes an instance list and passes it to OnInstances.
-func (w *Watcher) handleInstances(_ context.Context, value config.Value) error {
-	list, err := config.Decode[config.Instances](string(value.Name), value.Data)
+func (w *Watcher) handleInstances(_ context.Context, read response) error {
+	list, err := config.Decode[config.Instances](string(read.value.Name), read.value.Data)
 	if err != nil {
-		return fmt.Errorf("watch: decode %s: %w", value.Name, err)
+		return fmt.Errorf("watch: decode %s: %w", read.value.Name, err)
 	}
 	w.settings.OnInstances(list)
 	return nil
 }
 
 // handleIndex reads the values that the index lists and the current configuration lacks, and
-// passes the complete bundle to OnBundle.
-func (w *Watcher) handleIndex(ctx context.Context, value config.Value) error {
-	index, err := config.Decode[config.Index](string(value.Name), value.Data)
+// passes the complete bundle to OnBundle. After a restore it reads all values, because versions
+// of the current configuration may have been assigned again, and reports an index that is older
+// than the current configuration, which stays in force.
+func (w *Watcher) handleIndex(ctx context.Context, read response) error {
+	index, err := config.Decode[config.Index](string(read.value.Name), read.value.Data)
 	if err != nil {
-		return fmt.Errorf("watch: decode %s: %w", value.Name, err)
+		return fmt.Errorf("watch: decode %s: %w", read.value.Name, err)
 	}
 	current, ok := w.settings.CurrentBundle()
+	entered := w.indexEpoch > 0 && read.epoch != w.indexEpoch
+	w.indexEpoch = read.epoch
+	w.restored = w.restored || entered
 	if ok && index.Version <= current.Index.Version {
+		if entered && index.Version < current.Index.Version {
+			w.settings.OnError(fmt.Errorf("watch: platform was restored from a copy with index version %d, but version %d is in force: publish the configuration again with a version above %d",
+				index.Version, current.Index.Version, current.Index.Version))
+		}
 		return nil
 	}
-	bundle := config.Bundle{Index: value, Values: config.SelectValues(index, current.Values)}
+	bundle := config.Bundle{Index: read.value}
+	if !w.restored {
+		bundle.Values = config.SelectValues(index, current.Values)
+	}
 	for _, entry := range index.Values {
 		if bundle.Contains(entry) {
 			continue
 		}
-		read, err := w.Get(ctx, entry.Name, 0, 0)
+		value, err := w.Get(ctx, entry.Name, 0, 0)
 		if err != nil {
 			return fmt.Errorf("watch: read the values of index version %d: %w", index.Version, err)
 		}
-		if read.Version != entry.Version {
-			return fmt.Errorf("watch: read the values of index version %d: value %s has version %d, expected %d", index.Version, entry.Name, read.Version, entry.Version)
+		if value.Version != entry.Version {
+			return fmt.Errorf("watch: read the values of index version %d: value %s has version %d, expected %d", index.Version, entry.Name, value.Version, entry.Version)
 		}
-		bundle.Values = append(bundle.Values, read)
+		bundle.Values = append(bundle.Values, value)
 	}
+	w.restored = false
 	w.settings.OnBundle(bundle)
 	return nil
 }
--- a/wigeonlab/internal/stand/platform.go
+++ b/wigeonlab/internal/stand/platform.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
@@ -34,6 +35,7 @@
 // publish values with PUT; balancers read and long-poll them with GET.
 type Platform struct {
 	mutex  sync.Mutex
+	epoch  watch.Epoch
 	values map[config.ValueName]config.Value
 	// changed is closed and replaced when a value is published.
 	changed chan struct{}
@@ -48,7 +50,7 @@
 // NewPlatform returns a platform with the files below a directory as values, each as version
 // 1. A value is named by the file's relative path without ".json".
 func NewPlatform(directory string) (*Platform, error) {
-	p := &Platform{values: make(map[config.ValueName]config.Value), changed: make(chan struct{})}
+	p := &Platform{epoch: 1, values: make(map[config.ValueName]config.Value), changed: make(chan struct{})}
 	err := filepath.WalkDir(directory, func(path string, entry fs.DirEntry, err error) error {
 		if err != nil || entry.IsDir() {
 			return err
@@ -138,8 +140,12 @@
 	for {
 		p.mutex.Lock()
 		value, known := p.values[name]
-		changed := p.changed
+		changed, epoch := p.changed, strconv.FormatUint(uint64(p.epoch), 10)
 		p.mutex.Unlock()
+		w.Header().Set(watch.EpochHeader, epoch)
+		if known := r.URL.Query().Get(watch.EpochHeader); known != "" && known != epoch {
+			after = 0
+		}
 		if !known {
 			http.NotFound(w, r)
 			return
@@ -197,6 +203,23 @@
 	p.changed = make(chan struct{})
 }
 
+// Copy returns a copy of all values for Restore.
+func (p *Platform) Copy() map[config.ValueName]config.Value {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return maps.Clone(p.values)
+}
+
+// Restore replaces all values by those of an earlier copy, which starts a new epoch.
+func (p *Platform) Restore(values map[config.ValueName]config.Value) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.epoch++
+	p.values = maps.Clone(values)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // setDown starts an outage if the parameter Down is "true", and ends it otherwise.
 func (p *Platform) setDown(_ http.ResponseWriter, r *http.Request) {
 	p.mutex.Lock()
