Keep the time at which a server was first removed, and simplify Apply

A removal that is reported again took the time of the report, so a server whose entry is overwritten by unreadable bytes again and again would have stayed the last resort of its service, and its record would never have expired.

--- a/internal/state/replica.go
+++ b/internal/state/replica.go
@@ -69,7 +69,8 @@
 	// delta can be computed, 0 for none. Peers with a revision in between have changes that the
 	// replica has never seen, and that a restored platform may lack.
 	previousMin, previousEnd Revision
-	enteredEpochAt           time.Time
+	// enteredEpochAt is when the replica entered the current epoch, zero if that is the first.
+	enteredEpochAt time.Time
 	// retained holds the names of the backend servers of which the platform has an entry that
 	// is certainly older than what the replica knows. Peers with the same revision may have
 	// that entry.
@@ -148,14 +149,11 @@
 	if entersEpoch {
 		r.enteredEpochAt = now
 	}
-	if entersEpoch || r.loaded && delta.Full && delta.To > r.revision {
+	if entersEpoch || delta.Full && delta.To > r.revision {
 		r.previousMin, r.previousEnd, r.minDeltaRevision = r.minDeltaRevision, r.revision, delta.To
 	}
 	if delta.Full {
 		changed = r.removeMissingBackends(delta, now) || changed
-		if !r.loaded {
-			r.minDeltaRevision = delta.To
-		}
 		r.loaded = true
 	}
 	for index := range delta.Backends {
@@ -336,8 +334,8 @@
 }
 
 // recordRemoval stores the removal of a server that is not published, and reports whether the
-// lookup table changes. Of two removals of a server it keeps the later one, with what either of
-// them knows of the server.
+// lookup table changes. Of two removals of a server it keeps the later revision and the earlier
+// time, with what either of them knows of the server.
 func (r *Replica) recordRemoval(removal Removal) bool {
 	name := removal.Backend.Name
 	current, ok := r.removals[name]
@@ -350,6 +348,9 @@
 	case !later:
 		removal.Revision = current.Revision
 	}
+	if ok && current.RemovedAt.Before(removal.RemovedAt) {
+		removal.RemovedAt = current.RemovedAt
+	}
 	r.removals[name] = removal
 	return removal.known()
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -11,7 +11,8 @@
 // what it had with revisions of the new epoch and leaves the others as they are, so that peers
 // that were not ahead of it still need only a delta. Knowledge that the copy lacks is kept
 // where it is certain: the newest version of the configuration, which operators publish again,
-// and that a backend server is draining.
+// that a backend server is draining, and which of two servers with the same name or address
+// started later.
 //
 // Comparing counters without an epoch was rejected: after a restore, two replicas with equal
 // counters can differ. Starting an epoch with an empty replica was rejected as well: every
