Emulator: a digest mismatch is no violation, a late configuration is

TestPropertyGuarantees failed once in 500 sequences, without a restore: two versions a millisecond apart, of which the reader saw only the second; a balancer that had the first rejects the reader's delta and requests the full state. That is how internal/state/routes.go says that it works, and fails on the same sequence.

In its place each balancer in touch must have the newest version and its routes 3 s after the publication, on every tick, which an unrepaired mismatch would break; sequences run 5 s after the last fault instead of 3 s, so that this holds at their end, too. The sequence is in TestRegressions.

--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -356,13 +356,15 @@
 	}
 }
 
-// receive handles a gossip datagram from the balancer with the given index.
+// receive handles a gossip datagram from the balancer with the given index. A digest mismatch is
+// expected if the sender has missed a version: the balancer then requests the full state, and
+// checkConfiguration checks that it has the newest version in time.
 func (b *Balancer) receive(data []byte, from int) {
 	if !b.responsive() {
 		return
 	}
 	messages, err := b.node.Receive(data, balancerAddress(from), time.Now())
-	if err != nil {
+	if err != nil && !errors.Is(err, state.ErrDigestMismatch) {
 		b.deployment.Violations = append(b.deployment.Violations, errors.Unwrap(err).Error())
 	}
 	b.send(messages)
--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -225,7 +225,8 @@
 			injectFault(d, fault, s.target+index)
 			d.Run(time.Duration(s.gapsMS[index])*time.Millisecond, true)
 		}
-		d.Run(3*time.Second, true)
+		// Longer than the stable window, so that the propagation limits apply at the end.
+		d.Run(5*time.Second, true)
 		violations = d.Violations
 	})
 	return violations
@@ -245,6 +246,9 @@
 		// before all balancers had read that. A new flow to the server must not count as a
 		// violation then.
 		"drain before the store is down": {faults: []string{"add", "heal", "kill", "kill", "kill", "drain", "down", "heal"}, gapsMS: []int{0, 7, 3, 3, 2131, 12, 696, 5}},
+		// Two versions within a millisecond, of which the reader sees only the second one. A
+		// balancer that has the first one rejects the reader's delta and requests the full state.
+		"version that the reader has missed": {seed: 2, faults: []string{"drop", "configure", "restart", "add", "drop", "freeze"}, gapsMS: []int{26, 1, 174, 6, 13, 2302}, target: 3},
 	}
 	for name, sequence := range sequences {
 		if violations := sequence.run(t); len(violations) > 0 {
