Soak: publish configurations one after the other

The trace: the refusals are of version 111, which all six balancers have within 20 ms (one that was leaving after 2.8 s) and after which there is no other, and it lacks routes of the steps that overlapped. Operators read the list of routes and took a version in two steps, so that a later version could have an earlier list. Eleven such steps overlap in this plan.

A mutex covers the list, the version and the write.

--- a/wigeonlab/internal/soak/world.go
+++ b/wigeonlab/internal/soak/world.go
@@ -57,6 +57,9 @@
 	store     *stand.Store
 	router    *router.Router
 
+	// publishMutex serializes publications of the configuration.
+	publishMutex sync.Mutex
+
 	mutex         sync.Mutex
 	history       History
 	servers       []*proxiedServer
@@ -252,6 +255,9 @@
 // publishRoutes publishes a new configuration version with the routes that have not been dropped.
 // Versions increase but are not consecutive.
 func (e *environment) publishRoutes() {
+	// A later version must not have an earlier list of routes.
+	e.publishMutex.Lock()
+	defer e.publishMutex.Unlock()
 	var routes []string
 	for _, route := range e.publishedRoutes() {
 		routes = append(routes, fmt.Sprintf(`{"name":"r-%d","hostname":"198.18.0.1","prefix":"/%d/","type":"unsafe","timeout_ms":4000,"service":%q}`,
