--- a/review/lab/case_backlog.go
+++ b/review/lab/case_backlog.go
@@ -76,9 +76,7 @@
 	leaving.drain()
 	w.recordf("target %s is draining, acknowledged", leaving.id)
 	pause(ctx, 16*time.Second)
-	w.mutex.Lock()
-	largest, gone := w.store.largest, w.store.gone
-	w.mutex.Unlock()
+	largest, gone := w.store.answers()
 	w.recordf("store: the largest answer to a watch had %d bytes; %d answers were 410", largest, gone)
 	return judgeDrain(w) + judgeDropped(w), nil
 }
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -24,7 +24,7 @@
 	statusUnplayed = 2
 )
 
-// play plays a case and returns the number of times that its rule was broken.
+// play runs the steps of a case and returns the number of times that its rule was broken.
 type play func(ctx context.Context, w *world, trouble bool) (broken int, err error)
 
 var cases = map[string]play{
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -1,7 +1,7 @@
 package main
 
-// The platform's metadata store, as PROTOCOL.md describes it. It keeps each write for historyS
-// seconds; a watch returns every write since a revision, one event each.
+// The platform's metadata store, as PROTOCOL.md describes it. It keeps a history of all writes; a watch
+// returns every write since a revision, one event each.
 
 import (
 	"encoding/json"
@@ -100,6 +100,13 @@
 	return removed.at
 }
 
+// answers returns the size of the largest answer to a watch, and the number of answers 410.
+func (s *store) answers() (largest, gone int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.largest, s.gone
+}
+
 // record adds a write to the history and discards old ones.
 func (s *store) record(written item) {
 	s.events = append(s.events, written)
--- a/review/lab/target.go
+++ b/review/lab/target.go
@@ -22,10 +22,9 @@
 	// heartbeat is heartbeat_ms of the small deployments.
 	heartbeat = 770 * time.Millisecond
 	// slots and queue are the capacity of a target, work the time of a request.
-	slots     = 2
-	queue     = 8
-	work      = 30 * time.Millisecond
-	synRepeat = 200 * time.Millisecond
+	slots = 2
+	queue = 8
+	work  = 30 * time.Millisecond
 )
 
 // target is a backend server.
@@ -71,7 +70,7 @@
 }
 
 // newTarget starts a target and registers it.
-func newTarget(w *world, number int, service, zone string, address netip.AddrPort) (*target, error) {
+func newTarget(w *world, service, zone string, address netip.AddrPort) (*target, error) {
 	identity := rand.Uint32()
 	t := &target{
 		world: w, id: fmt.Sprintf("i-%08x", identity), number: uint64(identity), service: service, zone: zone,
@@ -202,10 +201,8 @@
 	if len(p.data) > 0 && p.seq == f.received {
 		f.received += uint32(len(p.data))
 		f.request = append(f.request, p.data...)
-		if len(f.request) > 0 && f.answer == nil {
-			t.startRequest(p, f)
-			return
-		}
+		t.startRequest(p, f)
+		return
 	}
 	switch {
 	case f.answer != nil && len(p.data) > 0:
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -54,7 +54,6 @@
 type sending struct {
 	at    time.Time
 	route netip.AddrPort
-	runs  int
 }
 
 // run is a request that a target has begun to work on.
@@ -148,7 +147,7 @@
 		}{{planning, planningByZone[index]}, {journal, journalByZone[index]}} {
 			for range spec.count {
 				address := netip.AddrPortFrom(w.ip(2, len(w.targets)+1), 8080)
-				t, err := newTarget(w, len(w.targets)+1, spec.service, zone, address)
+				t, err := newTarget(w, spec.service, zone, address)
 				if err != nil {
 					return err
 				}
@@ -351,9 +350,6 @@
 func (w *world) requestRun(r run) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	s := w.sent[r.attempt]
-	s.runs++
-	w.sent[r.attempt] = s
 	name := "?"
 	if b := w.balancerAt(r.opening.balancer); b != nil {
 		name, r.inTouch = b.name, b.inTouch(r.opening.at)
