State: record gaps in the knowledge of removals, and evacuations

Cause: a balancer that reads the platform anew does not see servers that came and went meanwhile. It sends the full state to peers in that gap, but a balancer that it updates by a delta did not know of the gap and sent deltas into it. A peer that had seen such a server kept it published for good. Seen by review, without a case on the platform.

A delta now says up to which revision removals may be missing, and its receiver sends the full state to peers in between. Of the gaps that several senders of the same items report, the lowest holds. Sending removals that nobody has seen, or always sending the full state after a full read, was ruled out: the first is impossible, the second costs every balancer the full state after each lost history.

Also: evacuations of failure domains are replicated like servers, the services of the configuration are relayed, incomplete items of peers are rejected, and a delta brings the first configuration to a replica that has none (its digest never matched, so that a starting fleet sent it in full).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,6 +87,10 @@
 	// table yet, empty if there is none. nextTableAt is the earliest time of the next table.
 	pendingChangeSource string
 	nextTableAt         time.Time
+	// problemLinesLeft is the number of invalid published items that may still be logged before
+	// problemLinesResetAt.
+	problemLinesLeft    int
+	problemLinesResetAt time.Time
 	metrics             *metricSet
 
 	ready   atomic.Bool
@@ -294,7 +298,9 @@
 		// the platform at once.
 		b.confirmedNanoseconds.Store(int64(now.Sub(b.startedAt) - b.staleAge()))
 	}
-	b.replica.PruneRemovals(now)
+	if b.replica.Prune(now) {
+		b.pendingChangeSource = "expiry"
+	}
 	b.applyDueChange(now)
 	b.sendMessages(b.node.Tick(now))
 	b.isReader.Store(b.node.IsReader(now))
--- a/internal/gossip/delta.go
+++ b/internal/gossip/delta.go
@@ -4,6 +4,7 @@
 // are relative to the time when it was written, because the clocks of instances differ.
 
 import (
+	"fmt"
 	"time"
 
 	"wigeonmoor.example/internal/state"
@@ -49,15 +50,28 @@
 	return encoded
 }
 
+func encodeEvacuation(evacuation *state.Evacuation, now time.Time) *wire.Evacuation {
+	encoded := &wire.Evacuation{Domain: evacuation.Domain, Active: evacuation.Active, Revision: uint64(evacuation.Revision)}
+	if !evacuation.ExpiresAt.IsZero() {
+		// 0 means that the evacuation does not expire.
+		encoded.ExpiresMilliseconds = uint32(max(evacuation.ExpiresAt.Sub(now).Milliseconds(), 1))
+	}
+	return encoded
+}
+
 // appendItems decodes the items of a part and appends them to a delta. writtenAt is the
-// time when the part was written, on this balancer's clock.
-func appendItems(delta *state.Delta, message *wire.Delta, writtenAt time.Time) {
-	for _, encoded := range message.Backends {
+// time when the part was written, on this balancer's clock. It returns an error if an item is
+// incomplete: its sender is at fault, and no other item of it can be trusted.
+func appendItems(delta *state.Delta, message *wire.Delta, writtenAt time.Time) error {
+	for index, encoded := range message.Backends {
+		if encoded.Name == "" || encoded.Service == "" || encoded.Domain == "" || encoded.Endpoint == 0 || encoded.Slots == 0 || encoded.Revision == 0 {
+			return fmt.Errorf("backend server %d (%s) is incomplete", index, encoded.Name)
+		}
 		delta.Backends = append(delta.Backends, decodeBackend(encoded, writtenAt))
 	}
-	for _, encoded := range message.Departed {
-		if encoded.Backend == nil {
-			continue
+	for index, encoded := range message.Departed {
+		if encoded.Backend == nil || encoded.Backend.Name == "" || encoded.Revision == 0 {
+			return fmt.Errorf("removal %d is incomplete", index)
 		}
 		delta.Removals = append(delta.Removals, state.Removal{
 			Backend:   decodeBackend(encoded.Backend, writtenAt),
@@ -65,6 +79,17 @@
 			RemovedAt: writtenAt.Add(-time.Duration(encoded.AgeMilliseconds) * time.Millisecond),
 		})
 	}
+	for index, encoded := range message.Evacuations {
+		if encoded.Domain == "" || encoded.Revision == 0 {
+			return fmt.Errorf("evacuation %d is incomplete", index)
+		}
+		evacuation := state.Evacuation{Domain: encoded.Domain, Active: encoded.Active, Revision: state.Revision(encoded.Revision)}
+		if encoded.ExpiresMilliseconds > 0 {
+			evacuation.ExpiresAt = writtenAt.Add(time.Duration(encoded.ExpiresMilliseconds) * time.Millisecond)
+		}
+		delta.Evacuations = append(delta.Evacuations, evacuation)
+	}
+	return nil
 }
 
 func decodeBackend(encoded *wire.PublishedBackend, writtenAt time.Time) state.Backend {
@@ -102,6 +127,22 @@
 	return route
 }
 
+func encodeServices(services []state.Service) []*wire.Service {
+	encoded := make([]*wire.Service, 0, len(services))
+	for _, service := range services {
+		encoded = append(encoded, &wire.Service{Name: service.Name, ColdRate: service.ColdRate})
+	}
+	return encoded
+}
+
+func decodeServices(encoded []*wire.Service) []state.Service {
+	var services []state.Service
+	for _, service := range encoded {
+		services = append(services, state.Service{Name: service.Name, ColdRate: service.ColdRate})
+	}
+	return services
+}
+
 // decodeConfiguration sets the configuration or the configuration delta of a delta from the
 // merged configurations of all its parts.
 func decodeConfiguration(delta *state.Delta, message *wire.Configuration, now time.Time) {
@@ -113,13 +154,13 @@
 	if !message.Amended {
 		delta.Configuration = &state.Configuration{
 			Version: state.Version(message.Version), Revision: state.Revision(message.Revision),
-			IdleTimeout: idle, Routes: routes,
+			IdleTimeout: idle, Routes: routes, Services: decodeServices(message.Services),
 		}
 		return
 	}
 	delta.ConfigurationDelta = &state.ConfigurationDelta{
 		Version: state.Version(message.Version), Revision: state.Revision(message.Revision),
-		IdleTimeout: idle, Routes: routes, Digest: state.Digest(message.Digest),
+		IdleTimeout: idle, Routes: routes, Services: decodeServices(message.Services), Digest: state.Digest(message.Digest),
 	}
 	for _, removed := range message.Gone {
 		removal := state.RouteRemoval{Listen: state.Endpoint(removed.Listen), Revision: state.Revision(removed.Revision), RemovedAt: now}
--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -241,11 +241,13 @@
 	isFirst := f.transfer == nil
 	if isFirst {
 		f.transfer = newTransfer(id)
+		f.transfer.gap = state.Revision(part.Gap)
 	}
 	t := f.transfer
 	if t.id != id {
 		return nil
 	}
+	t.gap = min(t.gap, state.Revision(part.Gap))
 	t.setPart(part.Index, part.Data, now.Add(-time.Duration(part.AgeMilliseconds)*time.Millisecond))
 	f.lastPart = now
 	request := f.pendingTo(from)
--- a/internal/gossip/serve.go
+++ b/internal/gossip/serve.go
@@ -222,6 +222,7 @@
 		n.sendPart(r.to, &wire.Part{
 			Transfer: r.transfer.id.encode(), Index: r.indexes[0], Data: next.data,
 			AgeMilliseconds: uint32(now.Sub(next.writtenAt).Milliseconds()), Left: uint32(len(r.indexes) - 1),
+			Gap: uint64(r.transfer.gap),
 		})
 		if r.indexes = r.indexes[1:]; len(r.indexes) > 0 {
 			u.requests = append(u.requests, r)
--- a/internal/gossip/transfer.go
+++ b/internal/gossip/transfer.go
@@ -86,6 +86,9 @@
 	id      transferID
 	parts   []part
 	missing int
+	// gap is the Gap of the difference. Of the gaps that several senders report for the same
+	// items, the lowest holds.
+	gap state.Revision
 	// lastUsed is when parts were last requested, or when the transfer was created or
 	// completed.
 	lastUsed time.Time
@@ -132,7 +135,7 @@
 
 // decode decodes all parts into one delta.
 func (t *transfer) decode(now time.Time) (state.Delta, error) {
-	delta := state.Delta{From: t.id.from, To: t.id.to, Full: t.id.full}
+	delta := state.Delta{From: t.id.from, To: t.id.to, Gap: t.gap, Full: t.id.full}
 	var configuration *wire.Configuration
 	var decoder partDecoder
 	for index := range t.parts {
@@ -140,7 +143,9 @@
 		if err != nil {
 			return state.Delta{}, fmt.Errorf("part %d of %d: %w", index, t.id.count, err)
 		}
-		appendItems(&delta, message, t.parts[index].writtenAt)
+		if err := appendItems(&delta, message, t.parts[index].writtenAt); err != nil {
+			return state.Delta{}, fmt.Errorf("part %d of %d: %w", index, t.id.count, err)
+		}
 		switch {
 		case message.Configuration == nil:
 		case configuration == nil:
@@ -199,18 +204,23 @@
 	for index := range delta.Removals {
 		s.addRemoval(&delta.Removals[index])
 	}
+	for index := range delta.Evacuations {
+		s.addEvacuation(&delta.Evacuations[index])
+	}
 	switch {
 	case delta.Configuration != nil:
 		full := delta.Configuration
 		s.addConfiguration(&wire.Configuration{
 			Version: uint64(full.Version), Revision: uint64(full.Revision),
 			IdleMilliseconds: uint32(full.IdleTimeout.Milliseconds()),
+			Services:         encodeServices(full.Services),
 		}, full.Routes, nil)
 	case delta.ConfigurationDelta != nil:
 		changes := delta.ConfigurationDelta
 		s.addConfiguration(&wire.Configuration{
 			Version: uint64(changes.Version), Revision: uint64(changes.Revision),
 			IdleMilliseconds: uint32(changes.IdleTimeout.Milliseconds()),
+			Services:         encodeServices(changes.Services),
 			Amended:          true, Digest: uint64(changes.Digest),
 		}, changes.Routes, changes.Removed)
 	}
@@ -219,7 +229,7 @@
 		from: delta.From, to: delta.To, full: delta.Full, removalsOnly: removalsOnly,
 		count: uint32(len(s.parts)), digest: s.hash.Sum64(),
 	}
-	return &transfer{id: id, parts: s.parts, lastUsed: now}, s.err
+	return &transfer{id: id, parts: s.parts, gap: delta.Gap, lastUsed: now}, s.err
 }
 
 // reserve starts a new part if the current one has no room for an item of the given encoded
@@ -266,8 +276,14 @@
 	s.current.Departed = append(s.current.Departed, encoded)
 }
 
+func (s *splitter) addEvacuation(evacuation *state.Evacuation) {
+	encoded := encodeEvacuation(evacuation, s.now)
+	s.reserve(proto.Size(encoded)+maxDurationBytes, 1, encoded.Domain, encoded.Revision)
+	s.current.Evacuations = append(s.current.Evacuations, encoded)
+}
+
 func (s *splitter) addConfiguration(header *wire.Configuration, routes []state.Route, removed []state.RouteRemoval) {
-	s.reserve(maxConfigurationHeaderBytes, 1, "configuration", header.Version)
+	s.reserve(maxConfigurationHeaderBytes+proto.Size(&wire.Configuration{Services: header.Services}), 1, "configuration", header.Version)
 	s.current.Configuration = header
 	for index := range routes {
 		encoded := encodeRoute(&routes[index])
--- a/internal/state/epoch_test.go
+++ b/internal/state/epoch_test.go
@@ -26,6 +26,8 @@
 	servers    map[string]state.Backend
 	version    state.Version
 	priorities []int
+	// evacuated holds the failure domains that the operators want to be evacuated.
+	evacuated map[string]bool
 }
 
 // platformCopy is the state of the platform after a write.
@@ -34,12 +36,14 @@
 	backends      map[string]state.Backend
 	removed       map[string]state.Counter
 	configuration *state.Configuration
+	evacuations   map[string]state.Evacuation
 }
 
 // write applies a change at the next counter.
 func (p *fakePlatform) write(change func(c *platformCopy, revision state.Revision)) {
 	p.copies = append(p.copies, p.current)
 	p.current.backends, p.current.removed = maps.Clone(p.current.backends), maps.Clone(p.current.removed)
+	p.current.evacuations = maps.Clone(p.current.evacuations)
 	p.current.counter++
 	change(&p.current, state.NewRevision(0, p.current.counter))
 }
@@ -67,6 +71,18 @@
 	})
 }
 
+// setEvacuated evacuates a failure domain or takes that back.
+func (p *fakePlatform) setEvacuated(domain string, evacuated bool) {
+	p.evacuated[domain] = evacuated
+	if p.current.evacuations[domain].Active == evacuated {
+		// Removing a key that does not exist is no change.
+		return
+	}
+	p.write(func(c *platformCopy, revision state.Revision) {
+		c.evacuations[domain] = state.Evacuation{Domain: domain, Active: evacuated, Revision: revision}
+	})
+}
+
 // restore goes back by a number of writes.
 func (p *fakePlatform) restore(writes int) {
 	last := max(0, len(p.copies)-writes)
@@ -93,14 +109,17 @@
 			p.removeServer(name)
 		}
 	}
+	for _, domain := range slices.Sorted(maps.Keys(p.evacuated)) {
+		p.setEvacuated(domain, p.evacuated[domain])
+	}
 }
 
-// deltaSince returns what a replica reads.
-func (p *fakePlatform) deltaSince(r *state.Replica) state.Delta {
+// deltaSince returns what a replica reads, or everything if it reads anew.
+func (p *fakePlatform) deltaSince(r *state.Replica, anew bool) state.Delta {
 	inEpoch := func(counter state.Counter) state.Revision { return state.NewRevision(p.epoch, counter) }
 	delta := state.Delta{From: r.Revision(), To: inEpoch(p.current.counter), Removed: make(map[string]state.Revision)}
 	since := r.Revision().Counter()
-	if !r.Loaded() || r.Revision().Epoch() != p.epoch {
+	if anew || !r.Loaded() || r.Revision().Epoch() != p.epoch {
 		delta.Full, since = true, 0
 	}
 	for _, name := range slices.Sorted(maps.Keys(p.current.backends)) {
@@ -120,6 +139,12 @@
 		copied.Revision = inEpoch(c.Revision.Counter())
 		delta.Configuration = &copied
 	}
+	for _, evacuation := range p.current.evacuations {
+		if counter := evacuation.Revision.Counter(); counter > since && (evacuation.Active || !delta.Full) {
+			evacuation.Revision = inEpoch(counter)
+			delta.Evacuations = append(delta.Evacuations, evacuation)
+		}
+	}
 	return delta
 }
 
@@ -134,12 +159,15 @@
 	return text
 }
 
-// Replicas that read a platform which is restored again and again, and exchange deltas late and
-// out of order, converge to what its writers have written last. No version decreases.
+// Replicas that read a platform which is restored again and again, read it anew, and exchange
+// deltas late and out of order, converge to what its writers have written last. No version
+// decreases. A replica that had read the platform anew once passed on deltas without the removals
+// of servers that it had never seen.
 func TestPropertyReplicasConvergeAfterRestores(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := &fakePlatform{epoch: 1, servers: make(map[string]state.Backend), current: platformCopy{counter: 1}}
+		p := &fakePlatform{epoch: 1, servers: make(map[string]state.Backend), evacuated: make(map[string]bool), current: platformCopy{counter: 1}}
 		p.current.backends, p.current.removed = make(map[string]state.Backend), make(map[string]state.Counter)
+		p.current.evacuations = make(map[string]state.Evacuation)
 		var replicas []*state.Replica
 		for range 4 {
 			replicas = append(replicas, state.NewReplica())
@@ -152,7 +180,7 @@
 		for started := range rapid.IntRange(1, 80).Draw(t, "steps") {
 			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
 			replica := replicas[rapid.IntRange(0, 3).Draw(t, "replica")]
-			switch rapid.SampledFrom([]string{"start", "drain", "remove", "configure", "restore", "write again", "read", "read", "send", "send", "receive", "receive", "forget"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"start", "drain", "remove", "configure", "restore", "write again", "read", "read", "read anew", "evacuate", "take back", "send", "send", "receive", "receive", "forget"}).Draw(t, "step") {
 			case "start":
 				backend := newBackend(name, 0)
 				backend.Started = int64(started + 1)
@@ -174,7 +202,11 @@
 			case "write again":
 				p.writeAgain()
 			case "read":
-				tryApply(t, replica, p.deltaSince(replica))
+				tryApply(t, replica, p.deltaSince(replica, false))
+			case "read anew":
+				tryApply(t, replica, p.deltaSince(replica, true))
+			case "evacuate", "take back":
+				p.setEvacuated(name, !p.evacuated[name])
 			case "send":
 				to := replicas[rapid.IntRange(0, 3).Draw(t, "to")]
 				if !replica.Loaded() || replica.Revision() <= to.Revision() {
@@ -187,25 +219,32 @@
 					tryApply(t, delayed[index].to, delayed[index].delta)
 				}
 			case "forget":
-				replica.PruneRemovals(start.Add(time.Hour))
+				replica.Prune(start.Add(time.Hour))
 			}
 		}
 		p.writeAgain()
-		reader := replicas[0]
-		tryApply(t, reader, p.deltaSince(reader))
+		tryApply(t, replicas[0], p.deltaSince(replicas[0], rapid.Bool().Draw(t, "anew")))
 		for number, replica := range replicas {
-			if replica.Revision() < reader.Revision() {
+			// Any replica that is up to date may be the sender.
+			sender := replicas[rapid.IntRange(0, max(number-1, 0)).Draw(t, "sender")]
+			if replica.Revision() < sender.Revision() {
 				since := state.Revision(0)
 				if replica.Loaded() {
 					since = replica.Revision()
 				}
-				if !tryApply(t, replica, reader.DeltaSince(since)) {
-					tryApply(t, replica, reader.DeltaSince(0))
+				if !tryApply(t, replica, sender.DeltaSince(since)) {
+					tryApply(t, replica, sender.DeltaSince(0))
 				}
 			}
+			replica.Prune(start.Add(20 * time.Second))
 			if got, want := describe(replica.Table()), describe(state.NewTable(0, nil, slices.SortedFunc(maps.Values(p.servers), byName), nil)); got != want {
 				t.Fatalf("replica %d has the servers %q, want %q", number, got, want)
 			}
+			for domain, evacuated := range p.evacuated {
+				if replica.Table().Evacuated(domain) != evacuated {
+					t.Fatalf("replica %d evacuates %v, want %v", number, replica.Table().EvacuatedDomains(), p.evacuated)
+				}
+			}
 			if c := replica.Configuration(); p.version > 0 && (c == nil || c.Version != p.version || describeRoutes(replica) != describeNewRoutes(p.priorities)) {
 				t.Fatalf("replica %d has the routes %q, want %q", number, describeRoutes(replica), describeNewRoutes(p.priorities))
 			}
--- a/internal/state/replica.go
+++ b/internal/state/replica.go
@@ -34,6 +34,10 @@
 	// From is the lowest revision to which the delta may be applied. It is ignored if
 	// Full is set. To is the revision that the receiver reaches.
 	From, To Revision
+	// Gap is set if the sender has read the platform anew and does not know which backend servers
+	// were both added after From and removed before Gap. A receiver that has no such server is
+	// not affected, but it cannot tell others of their removals.
+	Gap Revision
 	// Full is set if the delta holds every published backend server. The receiver
 	// removes all others.
 	Full bool
@@ -51,6 +55,8 @@
 	// configuration has not changed.
 	Configuration      *Configuration
 	ConfigurationDelta *ConfigurationDelta
+	// Evacuations holds the changed records of evacuations, or all of them in a full delta.
+	Evacuations []Evacuation
 }
 
 // Replica holds the published items and the recent removals. It is not safe for concurrent
@@ -75,6 +81,8 @@
 	// is certainly older than what the replica knows. Peers with the same revision may have
 	// that entry.
 	retained map[string]bool
+	// evacuations holds the records of evacuations by failure domain.
+	evacuations map[string]Evacuation
 }
 
 // NewReplica returns an empty replica.
@@ -84,6 +92,7 @@
 		removals:      make(map[string]Removal),
 		routeRemovals: make(map[Endpoint]RouteRemoval),
 		retained:      make(map[string]bool),
+		evacuations:   make(map[string]Evacuation),
 	}
 }
 
@@ -152,6 +161,9 @@
 	if entersEpoch || delta.Full && delta.To > r.revision {
 		r.previousMin, r.previousEnd, r.minDeltaRevision = r.minDeltaRevision, r.revision, delta.To
 	}
+	if !delta.Full && !entersEpoch && delta.Gap > r.revision {
+		r.previousMin, r.previousEnd, r.minDeltaRevision = r.minDeltaRevision, r.revision, delta.Gap
+	}
 	if delta.Full {
 		changed = r.removeMissingBackends(delta, now) || changed
 		r.loaded = true
@@ -165,6 +177,7 @@
 	for index := range delta.Removals {
 		changed = r.applyRemoval(delta.Removals[index], now) || changed
 	}
+	changed = r.applyEvacuations(delta, entersEpoch, now) || changed
 	if c := delta.Configuration; c != nil && r.isNewer(c.Version, c.Revision) {
 		r.replaceConfiguration(*c, now)
 		changed = true
@@ -180,6 +193,34 @@
 	return changed, nil
 }
 
+// RejectUnnamedServices replaces the entries of a delta that was read from the platform, and that
+// are of a service which the configuration does not name, by removals: such an entry names no
+// server to use. It returns the names of their servers.
+func (r *Replica) RejectUnnamedServices(delta *Delta) []string {
+	configuration := r.configuration
+	if c := delta.Configuration; c != nil && r.isNewer(c.Version, c.Revision) {
+		configuration = c
+	}
+	if configuration == nil {
+		return nil
+	}
+	var rejected []string
+	kept := delta.Backends[:0]
+	for _, backend := range delta.Backends {
+		if configuration.namesService(backend.Service) {
+			kept = append(kept, backend)
+			continue
+		}
+		rejected = append(rejected, backend.Name)
+		if delta.Removed == nil {
+			delta.Removed = make(map[string]Revision)
+		}
+		delta.Removed[backend.Name] = backend.Revision
+	}
+	delta.Backends = kept
+	return rejected
+}
+
 // isNewer reports whether a configuration with the given version and revision replaces the
 // current one. Operators publish a version again that a restored platform has lost, which peers
 // need even if they have the same revision as the replica.
@@ -384,10 +425,15 @@
 	if delta.Full {
 		delta.Configuration = r.configuration
 		delta.Removals = r.removalsSince(0)
+		delta.Evacuations = r.evacuationsSince(0)
 		return delta
 	}
+	if revision < r.minDeltaRevision {
+		delta.Gap = r.minDeltaRevision
+	}
 	delta.ConfigurationDelta = r.configurationDeltaSince(revision)
 	delta.Removals = r.removalsSince(revision)
+	delta.Evacuations = r.evacuationsSince(revision)
 	return delta
 }
 
@@ -408,9 +454,9 @@
 	return list
 }
 
-// PruneRemovals deletes removals older than removalTTL, when no flow can depend on
-// them any longer.
-func (r *Replica) PruneRemovals(now time.Time) {
+// Prune deletes removals older than removalTTL, when no flow can depend on them any longer, and
+// ends evacuations that expire. It reports whether the lookup table changes because of that.
+func (r *Replica) Prune(now time.Time) bool {
 	for name, removal := range r.removals {
 		if now.Sub(removal.RemovedAt) > removalTTL {
 			r.forgetRemoval(removal.Revision)
@@ -419,6 +465,7 @@
 		}
 	}
 	r.pruneRouteRemovals(now)
+	return r.expireEvacuations(now)
 }
 
 // forgetRemoval excludes deltas from before a removal whose record is deleted.
@@ -439,5 +486,7 @@
 	for _, name := range slices.Sorted(maps.Keys(r.backends)) {
 		backends = append(backends, r.backends[name])
 	}
-	return NewTable(r.revision, r.configuration, backends, removals)
+	table := NewTable(r.revision, r.configuration, backends, removals)
+	table.evacuated = r.evacuatedDomains()
+	return table
 }
--- a/internal/state/routes.go
+++ b/internal/state/routes.go
@@ -54,6 +54,14 @@
 		slices.Equal(r.Shares, other.Shares)
 }
 
+// Service is a service that a configuration names.
+type Service struct {
+	Name string
+	// ColdRate is the number of requests per second that a server can process while it is cold,
+	// 0 if that is not limited.
+	ColdRate float64
+}
+
 // Configuration is a configuration published by the operators. It is immutable once a
 // Replica has stored it.
 type Configuration struct {
@@ -61,6 +69,8 @@
 	Revision Revision
 	// Routes are sorted by Listen once a Replica has stored them.
 	Routes []Route
+	// Services are the services that the configuration names, nil if it names none.
+	Services []Service
 	// IdleTimeout is the time without packets after which a flow may expire.
 	IdleTimeout time.Duration
 	// Digest is set once a Replica has stored the configuration.
@@ -80,6 +90,8 @@
 	Version     Version
 	Revision    Revision
 	IdleTimeout time.Duration
+	// Services are all services of the configuration. They are few and rarely change.
+	Services []Service
 	// Routes holds the added and changed routes.
 	Routes  []Route
 	Removed []RouteRemoval
@@ -103,6 +115,12 @@
 
 func compareListen(route Route, listen Endpoint) int { return cmp.Compare(route.Listen, listen) }
 
+// namesService reports whether the configuration names a service. A configuration without any
+// services is from a balancer of an earlier version, which did not relay them.
+func (c *Configuration) namesService(name string) bool {
+	return len(c.Services) == 0 || slices.ContainsFunc(c.Services, func(s Service) bool { return s.Name == name })
+}
+
 // findRoute returns the route that listens on an endpoint, or nil.
 func (c *Configuration) findRoute(listen Endpoint) *Route {
 	if index, found := slices.BinarySearchFunc(c.Routes, listen, compareListen); found {
@@ -190,11 +208,11 @@
 func (r *Replica) applyConfigurationDelta(delta *ConfigurationDelta) *Configuration {
 	current := r.configuration
 	if current == nil {
-		return nil
+		current = &Configuration{}
 	}
 	updated := &Configuration{
 		Version: delta.Version, Revision: delta.Revision,
-		IdleTimeout: delta.IdleTimeout, Digest: delta.Digest,
+		IdleTimeout: delta.IdleTimeout, Services: delta.Services, Digest: delta.Digest,
 	}
 	changed := make(map[Endpoint]bool, len(delta.Routes)+len(delta.Removed))
 	for index := range delta.Routes {
@@ -223,7 +241,7 @@
 	if c == nil || c.Revision <= revision {
 		return nil
 	}
-	delta := &ConfigurationDelta{Version: c.Version, Revision: c.Revision, IdleTimeout: c.IdleTimeout, Digest: c.Digest}
+	delta := &ConfigurationDelta{Version: c.Version, Revision: c.Revision, IdleTimeout: c.IdleTimeout, Services: c.Services, Digest: c.Digest}
 	for index := range c.Routes {
 		if c.Routes[index].Revision > revision {
 			delta.Routes = append(delta.Routes, c.Routes[index])
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -65,7 +65,7 @@
 	is.True(mustApply(t, r, state.Delta{From: 1, To: 2, Removed: map[string]state.Revision{"a": 2}}))
 	is.True(!r.DeltaSince(1).Full)
 	is.Equal(len(r.DeltaSince(1).Removals), 1)
-	r.PruneRemovals(start.Add(time.Hour))
+	r.Prune(start.Add(time.Hour))
 	is.True(r.DeltaSince(1).Full)
 	is.True(!r.DeltaSince(2).Full)
 }
@@ -265,7 +265,7 @@
 	is.True(mustApply(t, peer, delta))
 	is.Equal(describeRoutes(peer), describeRoutes(origin))
 	is.True(!origin.DeltaSince(4).Full || origin.DeltaSince(4).Configuration != nil)
-	origin.PruneRemovals(start.Add(time.Hour)) // expires the removal of the route
+	origin.Prune(start.Add(time.Hour)) // expires the removal of the route
 	is.True(origin.DeltaSince(5).Full)
 }
 
@@ -298,3 +298,31 @@
 	}
 	return r.Configuration().Version
 }
+
+// A replica that follows one that has read the platform anew cannot tell peers of the servers that
+// came and went meanwhile. A peer that had seen such a server kept it published for good.
+func TestDeltaIntoGapIsFull(t *testing.T) {
+	is := is.New(t)
+	reader, follower, peer := state.NewReplica(), state.NewReplica(), state.NewReplica()
+	for _, r := range []*state.Replica{reader, follower, peer} {
+		is.True(mustApply(t, r, state.Delta{Full: true, To: 10, Backends: []state.Backend{newBackend("a", 5)}}))
+	}
+	is.True(mustApply(t, peer, state.Delta{From: 10, To: 15, Backends: []state.Backend{newBackend("b", 15)}}))
+	is.True(!mustApply(t, reader, state.Delta{Full: true, To: 20, Backends: []state.Backend{newBackend("a", 5)}}))
+	is.True(!mustApply(t, follower, reader.DeltaSince(10)))
+	is.Equal(follower.Revision(), state.Revision(20))
+	is.True(!follower.HasDeltaSince(15))
+	is.True(mustApply(t, peer, follower.DeltaSince(15)))
+	is.Equal(publishedNames(peer.Table()), "a ")
+}
+
+// The first configuration reaches a replica that has none as a delta as well.
+func TestConfigurationDeltaWithoutConfiguration(t *testing.T) {
+	is := is.New(t)
+	sender, receiver := state.NewReplica(), state.NewReplica()
+	is.True(mustApply(t, sender, state.Delta{Full: true, To: 1}))
+	is.True(mustApply(t, receiver, state.Delta{Full: true, To: 1}))
+	is.True(mustApply(t, sender, state.Delta{From: 1, To: 2, Configuration: &state.Configuration{Version: 4, Revision: 2, Routes: newRoutes([]int{1, 2})}}))
+	is.True(mustApply(t, receiver, sender.DeltaSince(1)))
+	is.Equal(receiver.Configuration().Version, state.Version(4))
+}
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -1,7 +1,9 @@
 package state
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -36,6 +38,10 @@
 	services map[string][]*Entry
 	tags     map[Tag]*Entry
 	entries  []*Entry
+	// evacuated holds the failure domains under evacuation, coldRates the limits of cold servers
+	// by service.
+	evacuated map[string]bool
+	coldRates map[string]float64
 }
 
 // defaultIdleTimeout applies while no configuration sets an idle timeout. It equals the
@@ -51,6 +57,7 @@
 		routes:      make(map[Endpoint]*Route),
 		services:    make(map[string][]*Entry),
 		tags:        make(map[Tag]*Entry),
+		coldRates:   make(map[string]float64),
 	}
 	if configuration != nil {
 		t.Version = configuration.Version
@@ -61,6 +68,11 @@
 			route := &configuration.Routes[index]
 			t.routes[route.Listen] = route
 		}
+		for _, service := range configuration.Services {
+			if service.ColdRate > 0 {
+				t.coldRates[service.Name] = service.ColdRate
+			}
+		}
 	}
 	addresses := make(map[netip.AddrPort]*Backend)
 	for index := range backends {
@@ -113,5 +125,15 @@
 // Service returns all backend servers of a service, including removed ones.
 func (t *Table) Service(name string) []*Entry { return t.services[name] }
 
+// Evacuated reports whether the backend servers of a failure domain are to get nothing.
+func (t *Table) Evacuated(domain string) bool { return t.evacuated[domain] }
+
+// EvacuatedDomains returns the failure domains under evacuation, sorted.
+func (t *Table) EvacuatedDomains() []string { return slices.Sorted(maps.Keys(t.evacuated)) }
+
+// ColdRate returns the number of requests per second that a cold server of a service can process,
+// 0 if that is not limited.
+func (t *Table) ColdRate(service string) float64 { return t.coldRates[service] }
+
 // Entries returns all backend servers, including removed ones.
 func (t *Table) Entries() []*Entry { return t.entries }
