Platform: use complete values only, and recover from answers that are too large

Entries of a service that the configuration does not name are no entries either. Rejected values are counted by reason and logged at most ten times per second.

The time-out of a full read is that of each page, as 18 pages of a slow store never fitted into 1.5 s.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"reflect"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"wigeonmoor.example/internal/source"
 	"wigeonmoor.example/internal/state"
 	"wigeonmoor.example/internal/tagged"
 )
@@ -18,6 +20,8 @@
 	handshake    *metrics.PrometheusHistogram
 	platformCall *metrics.PrometheusHistogram
 	decision     *metrics.PrometheusHistogram
+	// rejectedItems counts invalid published items by reason.
+	rejectedItems map[source.Reason]*metrics.Counter
 }
 
 // Upper bounds of the histograms' buckets, in seconds. A handshake usually takes one round
@@ -30,11 +34,16 @@
 
 func newMetricSet() *metricSet {
 	set := metrics.NewSet()
+	rejected := make(map[source.Reason]*metrics.Counter)
+	for _, reason := range source.Reasons() {
+		rejected[reason] = set.NewCounter(fmt.Sprintf("wigeond_rejected_items_total{reason=%q}", reason))
+	}
 	return &metricSet{
-		set:          set,
-		handshake:    set.NewPrometheusHistogramExt("wigeond_handshake_seconds", handshakeBuckets),
-		platformCall: set.NewPrometheusHistogramExt("wigeond_platform_call_seconds", platformCallBuckets),
-		decision:     set.NewPrometheusHistogramExt("wigeond_decision_seconds", decisionBuckets),
+		rejectedItems: rejected,
+		set:           set,
+		handshake:     set.NewPrometheusHistogramExt("wigeond_handshake_seconds", handshakeBuckets),
+		platformCall:  set.NewPrometheusHistogramExt("wigeond_platform_call_seconds", platformCallBuckets),
+		decision:      set.NewPrometheusHistogramExt("wigeond_decision_seconds", decisionBuckets),
 	}
 }
 
--- a/internal/entry/read.go
+++ b/internal/entry/read.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"wigeonmoor.example/internal/source"
@@ -106,12 +108,38 @@
 
 // handleResult applies a response of the platform to the replica.
 func (b *Balancer) handleResult(result source.Result) {
-	for _, problem := range result.Problems {
-		b.log.Info("source: ignored an invalid published item", "Problem", problem.Error())
+	for _, name := range b.replica.RejectUnnamedServices(&result.Delta) {
+		result.Problems = append(result.Problems, &source.ValueError{
+			Reason: source.UnknownName,
+			Err:    fmt.Errorf("entry of %s: the configuration does not name its service", name),
+		})
 	}
+	b.reportProblems(result.Problems, time.Now())
 	to := result.Delta.To
 	if epoch := state.Epoch(b.platformEpoch.Swap(uint32(to.Epoch()))); epoch != to.Epoch() {
 		b.log.Info("source: platform is in another epoch", "Epoch", to.Epoch(), "Before", epoch, "Revision", to.Counter(), "Full", result.Delta.Full)
 	}
 	b.sendMessages(b.node.ApplyPlatformDelta(result.Delta, time.Now()))
 }
+
+// maxProblemLinesPerSecond limits the log lines about invalid published items. A writer at fault
+// may write every entry several times per second; all items are counted.
+const maxProblemLinesPerSecond = 10
+
+// reportProblems counts invalid published items by reason and logs some of them.
+func (b *Balancer) reportProblems(problems []error, now time.Time) {
+	for _, problem := range problems {
+		reason := source.Malformed
+		if value := (*source.ValueError)(nil); errors.As(problem, &value) {
+			reason = value.Reason
+		}
+		b.metrics.rejectedItems[reason].Inc()
+		if !now.Before(b.problemLinesResetAt) {
+			b.problemLinesLeft, b.problemLinesResetAt = maxProblemLinesPerSecond, now.Add(time.Second)
+		}
+		if b.problemLinesLeft > 0 {
+			b.problemLinesLeft--
+			b.log.Info("source: ignored an invalid published item", "Reason", reason, "Problem", problem.Error())
+		}
+	}
+}
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -21,11 +20,6 @@
 	"wigeonmoor.example/internal/state"
 )
 
-// ErrHistoryLost is returned by Store.Watch if the platform's history no longer reaches back
-// to the given revision, or does not contain it because the platform was restored from an older
-// copy. A full read is required then.
-var ErrHistoryLost = errors.New("source: history is no longer available")
-
 const (
 	// watchTimeout is how long the platform holds back the response to a watch if nothing
 	// changes. A dead connection goes unnoticed for this long; meanwhile the other
@@ -33,11 +27,6 @@
 	watchTimeout = 2 * time.Second
 	// pollTimeout is the same for a poll, which does not wait for changes.
 	pollTimeout = time.Millisecond
-	// responseTimeout is added to these for the call itself. The platform usually responds
-	// in 4 ms, at worst in 64 times that.
-	responseTimeout = 700 * time.Millisecond
-	// readTimeout limits a full read, which may take several calls.
-	readTimeout = 1500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay limit the exponential backoff after failed calls.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
@@ -72,18 +61,21 @@
 // Result is a response of the platform.
 type Result struct {
 	Delta state.Delta
-	// Problems describe published items that are invalid and not part of Delta.
+	// Problems describe published items that are invalid and not part of Delta. They wrap
+	// ValueErrors.
 	Problems []error
 }
 
 // Store is a client of the platform's store.
 type Store interface {
-	// Read returns all published items, as a full delta.
-	Read(ctx context.Context) (Result, error)
+	// Read returns all published items, as a full delta. The time-out is that of each of the
+	// calls that it takes.
+	Read(ctx context.Context, timeout time.Duration) (Result, error)
 	// Watch returns the changes since a revision. If there are none, it waits for them, up
-	// to the given time, and then returns an empty delta. It returns ErrHistoryLost if the
-	// revision is too old.
-	Watch(ctx context.Context, since state.Revision, wait time.Duration) (Result, error)
+	// to the given time, and then returns an empty delta. The time-out is added to that time.
+	// It returns ErrHistoryLost if the revision is too old, and ErrTooLarge if there are more
+	// changes than the client accepts.
+	Watch(ctx context.Context, since state.Revision, wait, timeout time.Duration) (Result, error)
 }
 
 // Config configures a Watcher. The callbacks are called from its goroutine.
@@ -108,9 +100,9 @@
 
 // Watcher reads the platform until its context is done.
 type Watcher struct {
-	config        Config
-	needsFullRead bool
-	unreachable   bool
+	config      Config
+	plan        plan
+	unreachable bool
 }
 
 // New starts a Watcher.
@@ -134,18 +126,19 @@
 			continue
 		}
 		since, _ := w.config.Revision()
-		result, err := w.call(ctx, mode)
-		switch {
-		case ctx.Err() != nil:
+		result, made, err := w.call(ctx, mode)
+		if ctx.Err() != nil {
 			return
+		}
+		callAtOnce := w.plan.record(made, err)
+		switch {
 		case err == nil:
 			w.handleResult(result)
 			retryDelay = minRetryDelay
 			if result.Delta.To > since {
 				sleep(ctx, changeDelay)
 			}
-		case errors.Is(err, ErrHistoryLost) && !w.needsFullRead:
-			w.needsFullRead = true
+		case callAtOnce:
 			continue
 		default:
 			w.handleError(err)
@@ -180,40 +173,35 @@
 	return delay/2 + time.Duration(rand.Int64N(int64(delay)))
 }
 
-// call does a full read if there is no revision or if the history was lost, and a watch or a
-// poll otherwise. While the platform is unreachable it polls even in ModeWatch, so that a
-// recovery is detected at once.
-func (w *Watcher) call(ctx context.Context, mode Mode) (Result, error) {
+// call makes the next call of the plan. While the platform is unreachable it polls even in
+// ModeWatch, so that a recovery is detected at once.
+func (w *Watcher) call(ctx context.Context, mode Mode) (Result, call, error) {
 	since, hasRevision := w.config.Revision()
-	if !hasRevision || w.needsFullRead {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
+	made, timeout := w.plan.next(hasRevision)
+	if made == readCall {
 		defer w.reportCall(time.Now())
-		result, err := w.config.Store.Read(ctx)
+		result, err := w.config.Store.Read(ctx, timeout)
 		if err != nil {
-			return Result{}, fmt.Errorf("source: read all published items: %w", err)
+			return Result{}, made, fmt.Errorf("source: read all published items: %w", err)
 		}
 		if hasRevision && result.Delta.To < since {
-			return Result{}, fmt.Errorf("source: read all published items: platform is at revision %d of epoch %d, which is older than revision %d of epoch %d",
+			return Result{}, made, fmt.Errorf("source: read all published items: platform is at revision %d of epoch %d, which is older than revision %d of epoch %d",
 				result.Delta.To.Counter(), result.Delta.To.Epoch(), since.Counter(), since.Epoch())
 		}
-		w.needsFullRead = false
-		return result, nil
+		return result, made, nil
 	}
 	wait := watchTimeout
 	if mode == ModePoll || w.unreachable {
 		wait = pollTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
-	defer cancel()
 	if wait == pollTimeout {
 		defer w.reportCall(time.Now())
 	}
-	result, err := w.config.Store.Watch(ctx, since, wait)
+	result, err := w.config.Store.Watch(ctx, since, wait, timeout)
 	if err != nil {
-		return Result{}, fmt.Errorf("source: watch since revision %d of epoch %d: %w", since.Counter(), since.Epoch(), err)
+		return Result{}, made, fmt.Errorf("source: watch since revision %d of epoch %d: %w", since.Counter(), since.Epoch(), err)
 	}
-	return result, nil
+	return result, made, nil
 }
 
 // reportCall passes the duration of a call to OnCall.
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -49,7 +49,9 @@
 	return respond, revision
 }
 
-func (s *fakeStore) Read(ctx context.Context) (source.Result, error) {
+func (s *fakeStore) Read(ctx context.Context, timeout time.Duration) (source.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	respond, revision := s.countCall(&s.reads)
 	if respond != nil {
 		return source.Result{}, respond(ctx)
@@ -57,7 +59,9 @@
 	return source.Result{Delta: state.Delta{Full: true, To: revision}}, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, since state.Revision, wait time.Duration) (source.Result, error) {
+func (s *fakeStore) Watch(ctx context.Context, since state.Revision, wait, timeout time.Duration) (source.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
+	defer cancel()
 	respond, revision := s.countCall(&s.watches)
 	if respond != nil {
 		return source.Result{}, respond(ctx)
--- a/wigeonlab/internal/soak/world.go
+++ b/wigeonlab/internal/soak/world.go
@@ -260,14 +260,18 @@
 	defer e.publishMutex.Unlock()
 	var routes []string
 	for _, route := range e.publishedRoutes() {
-		routes = append(routes, fmt.Sprintf(`{"name":"r-%d","hostname":"198.18.0.1","prefix":"/%d/","type":"unsafe","timeout_ms":4000,"service":%q}`,
+		routes = append(routes, fmt.Sprintf(`{"name":"r-%d","hostname":"198.18.0.1","prefix":"/%d/","type":"unsafe","timeout_ms":4000,"slo_latency_ms":250,"priority":1,"service":%q}`,
 			route.Listen.Port(), route.Listen.Port(), route.Service))
 	}
+	var services []string
+	for _, name := range serviceNames {
+		services = append(services, fmt.Sprintf(`{"name":%q}`, name))
+	}
 	e.mutex.Lock()
 	e.configVersion += 3
 	version := e.configVersion
 	e.mutex.Unlock()
-	e.store.Put("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],"limits":{"idle_timeout_ms":15000}}`, version, strings.Join(routes, ",")))
+	e.store.Put("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"limits":{"idle_timeout_ms":15000}}`, version, strings.Join(routes, ","), strings.Join(services, ",")))
 }
 
 // runCaller opens one flow after another, each to a random route, until the context is
--- a/wigeonlab/tagged.go
+++ b/wigeonlab/tagged.go
@@ -61,7 +61,7 @@
 	}
 	// The store is served until the process exits.
 	go func() { _ = http.Serve(listener, store) }()
-	store.Put("op/config", `{"version":3,"routes":[{"name":"planning","hostname":"198.18.0.1","prefix":"/443/","type":"safe","timeout_ms":4000,"service":"planning"}],"limits":{"idle_timeout_ms":15000}}`)
+	store.Put("op/config", `{"version":3,"routes":[{"name":"planning","hostname":"198.18.0.1","prefix":"/443/","type":"safe","timeout_ms":4000,"slo_latency_ms":250,"priority":1,"service":"planning"}],"services":[{"name":"planning"}],"limits":{"idle_timeout_ms":15000}}`)
 	servers, err := startTaggedServers(store)
 	if err != nil {
 		return err
