Gossip: let successors stand in for readers that fall silent together

Ruled out: a third reader with an open watch (half as many calls again, all the time), separate watches for servers and configuration (twice the calls), a shorter time-out for everybody (false alarms in large fleets). A watch and a full read cost one call and one call for each page.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test and maintenance targets. All of them work on a fresh clone.
 MODULES = ./... ./wigeond/... ./wigeonctl/... ./wigeonlab/...
 
-.PHONY: build demo test check soak regress measure capacity bench properties scenarios fuzz generate
+.PHONY: build demo test check soak regress review measure capacity bench properties scenarios fuzz generate
 
 build:
 	go build -o bin/ ./wigeond ./wigeonctl ./wigeonlab
@@ -32,6 +32,15 @@
 regress:
 	for site in $(SITES); do $(BENCH) score $(KIT)/$$site.toml --why "$(WHY)" || exit 1; done
 
+# review plays the cases of the independent review as a regression test. BENCH and KIT are those of
+# regress.
+review:
+	go build -ldflags=-linkmode=external -o target/ ./wigeond
+	sh review/build.sh
+	review/1/run.sh
+	review/2/run.sh
+	for seed in 1 2 3 4 5; do $(BENCH) run $(KIT)/further/lsc-dakar.toml review/3/day.toml --seed $$seed --why "$(WHY)" || exit 1; done
+
 # measure runs the experiments, which takes some minutes, and prints a line for each of them.
 measure:
 	go test ./internal/owned -run 'TestMeasure' -measure -v -parallel 3 -timeout 30m | grep '^measure:'
--- a/internal/entry/read.go
+++ b/internal/entry/read.go
@@ -39,6 +39,13 @@
 	transferTimeout = 500 * time.Millisecond
 )
 
+// Approximate sizes of a published route and of a server's entry in a response of the platform,
+// where values are encoded as base64.
+const (
+	routeResponseBytes  = 240
+	serverResponseBytes = 400
+)
+
 // startWatcher starts the goroutine that reads the platform.
 func (b *Balancer) startWatcher(ctx context.Context) {
 	source.New(ctx, source.Config{
@@ -50,6 +57,7 @@
 		OnResult: func(result source.Result) {
 			b.enqueue(func() { b.handleResult(result) })
 		},
+		StateBytes:         b.stateBytes.Load,
 		FailedPollInterval: func() time.Duration { return time.Duration(b.memberCount.Load()) * failedPollIntervalPerMember },
 		OnCall:             func(duration time.Duration) { b.metrics.platformCall.Update(duration.Seconds()) },
 		OnUnreachable: func(err error) {
--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -231,6 +231,17 @@
 	return ""
 }
 
+// countReaders returns the number of live nodes that read the platform.
+func (f *fleet) countReaders() int {
+	readers := 0
+	for _, n := range f.liveNodes() {
+		if n.IsReader(f.now) {
+			readers++
+		}
+	}
+	return readers
+}
+
 // setServers makes the nodes report load on count servers.
 func (f *fleet) setServers(count int) {
 	f.servers = nil
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -235,7 +235,7 @@
 
 // roundFanout returns the number of live members that a round sends to.
 func (n *Node) roundFanout() int {
-	if n.isElected(&n.self) {
+	if n.members.readers.contains(&n.self) {
 		return readerFanout
 	}
 	return fanout
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -244,13 +244,7 @@
 			}
 		}
 		f.advance(6 * time.Second)
-		readers := 0
-		for _, n := range f.liveNodes() {
-			if n.IsReader(f.now) {
-				readers++
-			}
-		}
-		is.Equal(readers, 2)
+		is.Equal(f.countReaders(), 2)
 	}
 }
 
@@ -282,3 +276,37 @@
 		}
 	}
 }
+
+// After both readers were killed together, no change was read for 1.5 to 1.75 s, which is more
+// than half of the time within which a draining server has to be known everywhere. Their
+// successors must read within a second, in fleets of any size, also if some of them were killed
+// as well.
+func TestSuccessorsStandInForKilledReaders(t *testing.T) {
+	cases := []struct {
+		size, alsoKilled int
+		within           time.Duration
+	}{
+		{8, 0, time.Second},
+		{8, 2, 1300 * time.Millisecond},
+		{90, 0, time.Second},
+		{300, 0, time.Second},
+		// Successors that were killed as well are missed later in a large fleet, where
+		// heartbeats of members other than the readers arrive less often.
+		{300, 75, 2 * time.Second},
+	}
+	for _, c := range cases {
+		f := newFleet(c.size, 21)
+		f.applyPlatformDelta(0, fullDeltaWithoutBackends(5, 2))
+		f.advance(30 * time.Second)
+		for _, n := range f.liveNodes() {
+			n.dead = n.IsReader(f.now)
+		}
+		for _, number := range f.random.Perm(c.size)[:c.alsoKilled] {
+			f.nodes[number].dead = true
+		}
+		f.advance(c.within)
+		if f.countReaders() == 0 {
+			t.Errorf("fleet of %d with %d more killed: nobody reads after %s", c.size, c.alsoKilled, c.within)
+		}
+	}
+}
--- a/internal/gossip/member.go
+++ b/internal/gossip/member.go
@@ -74,13 +74,13 @@
 	// order in which their records are sent. newcomers holds those that have recently joined
 	// or restarted, also in sending order.
 	live, sendQueue, newcomers []*member
-	// readersStale is set when the readers have to be elected again. firstReader and
-	// secondReader are nil for none.
+	// readersStale is set when the readers have to be elected again.
 	readersStale bool
 	// liveChanged is set when a member has become alive or dead.
-	liveChanged               bool
-	firstReader, secondReader *wire.Member
-	// firstReaderSince and secondReaderSince are when they were elected.
+	liveChanged bool
+	// readers are the elected readers, and standbys those who would be elected without them.
+	readers, standbys readerPair
+	// firstReaderSince and secondReaderSince are when the readers were elected.
 	firstReaderSince, secondReaderSince time.Time
 	nextExpiry                          time.Time
 }
@@ -231,18 +231,6 @@
 	}
 }
 
-// readerTimedOut reports whether a reader has sent no heartbeat for heartbeatTimeout,
-// counted from its election at the earliest.
-func (n *Node) readerTimedOut(record *wire.Member, silent time.Duration, now time.Time) bool {
-	switch record {
-	case n.members.firstReader:
-		return min(silent, now.Sub(n.members.firstReaderSince)) > heartbeatTimeout
-	case n.members.secondReader:
-		return min(silent, now.Sub(n.members.secondReaderSince)) > heartbeatTimeout
-	}
-	return false
-}
-
 // LiveCount returns the number of live members, this balancer included.
 func (n *Node) LiveCount() int { return len(n.members.live) + 1 }
 
@@ -253,8 +241,12 @@
 func (n *Node) pickTargets(count int) []netip.AddrPort {
 	var targets, remote []netip.AddrPort
 	maxLocal := min(maxLocalTargets, count-1)
+	if n.members.readers.contains(&n.self) {
+		targets = n.standbyAddresses()
+	}
 	for _, m := range n.sampleLive(count * samplesPerTarget) {
 		switch {
+		case slices.Contains(targets, m.address):
 		case m.record.Domain == n.self.Domain && len(targets) < maxLocal:
 			targets = append(targets, m.address)
 		case m.record.Domain != n.self.Domain:
@@ -297,7 +289,7 @@
 // ones.
 func (n *Node) selectRecords() []*wire.Member {
 	records := make([]*wire.Member, 0, maxRecordsPerDatagram)
-	for _, reader := range []*wire.Member{n.members.firstReader, n.members.secondReader} {
+	for _, reader := range []*wire.Member{n.members.readers.first, n.members.readers.second} {
 		if reader == nil || reader == &n.self {
 			continue
 		}
@@ -348,70 +340,4 @@
 	return m.compact
 }
 
-// IsReader reports whether this balancer is one of the two readers, which read the platform
-// for the whole fleet. They are in two failure domains if live members are in at least two.
-// All balancers rank the live members by the same criteria. Those that cannot reach the
-// platform rank last, so that one of them keeps trying even if none can. One reader for
-// each failure domain was rejected: each change costs one call for each reader, and a
-// domain that is partitioned off elects its own readers anyway.
-func (n *Node) IsReader(now time.Time) bool {
-	n.electReaders(now)
-	reader := n.isElected(&n.self) && !n.self.Leaving
-	if reader != n.wasReader || !n.readerLogged {
-		n.config.Log.Info("gossip: reader role updated", "Reader", reader, "Blind", n.self.Blind)
-	}
-	n.wasReader, n.readerLogged = reader, true
-	return reader
-}
-
-// isElected reports whether a record is that of one of the two readers.
-func (n *Node) isElected(record *wire.Member) bool {
-	return record != nil && (record == n.members.firstReader || record == n.members.secondReader)
-}
-
-// electReaders elects the highest-ranking live member, and the highest-ranking one in
-// another failure domain.
-func (n *Node) electReaders(now time.Time) {
-	members := &n.members
-	if !members.readersStale && members.firstReader != nil {
-		return
-	}
-	members.readersStale = false
-	first, firstHash := &n.self, hashName(n.self.Name)
-	for _, m := range members.live {
-		if outranks(m.record, m.nameHash, first, firstHash) {
-			first, firstHash = m.record, m.nameHash
-		}
-	}
-	var second *wire.Member
-	var secondHash uint64
-	if n.self.Domain != first.Domain {
-		second, secondHash = &n.self, hashName(n.self.Name)
-	}
-	for _, m := range members.live {
-		if m.record.Domain != first.Domain && (second == nil || outranks(m.record, m.nameHash, second, secondHash)) {
-			second, secondHash = m.record, m.nameHash
-		}
-	}
-	if !sameIncarnation(members.firstReader, first) {
-		members.firstReaderSince = now
-	}
-	if !sameIncarnation(members.secondReader, second) {
-		members.secondReaderSince = now
-	}
-	members.firstReader, members.secondReader = first, second
-}
-
-func sameIncarnation(one, other *wire.Member) bool {
-	return one != nil && other != nil && one.Name == other.Name && one.Incarnation == other.Incarnation
-}
-
-// outranks reports whether one member takes precedence over another for the reader role.
-func outranks(one *wire.Member, oneHash uint64, other *wire.Member, otherHash uint64) bool {
-	if one.Blind != other.Blind {
-		return other.Blind
-	}
-	return oneHash < otherHash
-}
-
 func hashName(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/source/property_test.go
+++ b/internal/source/property_test.go
@@ -43,7 +43,6 @@
 
 const (
 	linkBytesPerSecond  = 1_250_000 // 10 Mbit/s
-	clientLimit         = 4 << 20
 	trickleBytesPerSec  = 20_000
 	responseBytesAtOnce = 200
 )
@@ -123,18 +122,18 @@
 	return source.Result{Delta: state.Delta{Full: true, To: revision}}, nil
 }
 
-func (s *faultyStore) Watch(ctx context.Context, since state.Revision, wait, timeout time.Duration) (source.Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
+func (s *faultyStore) Watch(ctx context.Context, since state.Revision, limits source.WatchLimits) (source.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, limits.Wait+limits.Timeout)
 	defer cancel()
 	revision, oldest := s.current()
-	for end := time.Now().Add(wait); revision <= since && time.Now().Before(end) && ctx.Err() == nil; revision, oldest = s.current() {
+	for end := time.Now().Add(limits.Wait); revision <= since && time.Now().Before(end) && ctx.Err() == nil; revision, oldest = s.current() {
 		time.Sleep(10 * time.Millisecond)
 	}
 	if since < oldest {
 		return source.Result{}, source.ErrHistoryLost
 	}
 	size := s.sizeSince(since)
-	if size > clientLimit {
+	if int64(size) > limits.Bytes {
 		return source.Result{}, source.ErrTooLarge
 	}
 	if err := s.respond(ctx, size); err != nil {
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -74,10 +74,27 @@
 	// Watch returns the changes since a revision. If there are none, it waits for them, up
 	// to the given time, and then returns an empty delta. The time-out is added to that time.
 	// It returns ErrHistoryLost if the revision is too old, and ErrTooLarge if there are more
-	// changes than the client accepts.
-	Watch(ctx context.Context, since state.Revision, wait, timeout time.Duration) (Result, error)
+	// changes than the limits allow.
+	Watch(ctx context.Context, since state.Revision, limits WatchLimits) (Result, error)
 }
 
+// WatchLimits limits one watch.
+type WatchLimits struct {
+	// Wait is how long the platform holds the response back if there are no changes, and Timeout
+	// how long it may take beyond that.
+	Wait, Timeout time.Duration
+	// Bytes is the maximum size of the response.
+	Bytes int64
+}
+
+const (
+	// A response to a watch may be watchSizeFactor times as large as that to a full read, which
+	// costs less from there on: the watch may hold the same item many times.
+	watchSizeFactor = 1.5
+	// minWatchBytes is allowed in any case, so that a growing configuration fits.
+	minWatchBytes = 512 << 10
+)
+
 // Config configures a Watcher. The callbacks are called from its goroutine.
 type Config struct {
 	Store Store
@@ -87,6 +104,9 @@
 	Revision func() (state.Revision, bool)
 	// OnResult receives the result of each successful call.
 	OnResult func(Result)
+	// StateBytes, if set, returns the approximate size of the response to a full read. It limits
+	// responses to watches.
+	StateBytes func() int64
 	// FailedPollInterval, if set, returns the minimum time between two polls while they
 	// fail.
 	FailedPollInterval func() time.Duration
@@ -197,7 +217,11 @@
 	if wait == pollTimeout {
 		defer w.reportCall(time.Now())
 	}
-	result, err := w.config.Store.Watch(ctx, since, wait, timeout)
+	limits := WatchLimits{Wait: wait, Timeout: timeout, Bytes: minWatchBytes}
+	if w.config.StateBytes != nil {
+		limits.Bytes = max(limits.Bytes, int64(watchSizeFactor*float64(w.config.StateBytes())))
+	}
+	result, err := w.config.Store.Watch(ctx, since, limits)
 	if err != nil {
 		return Result{}, made, fmt.Errorf("source: watch since revision %d of epoch %d: %w", since.Counter(), since.Epoch(), err)
 	}
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -59,14 +59,14 @@
 	return source.Result{Delta: state.Delta{Full: true, To: revision}}, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, since state.Revision, wait, timeout time.Duration) (source.Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
+func (s *fakeStore) Watch(ctx context.Context, since state.Revision, limits source.WatchLimits) (source.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, limits.Wait+limits.Timeout)
 	defer cancel()
 	respond, revision := s.countCall(&s.watches)
 	if respond != nil {
 		return source.Result{}, respond(ctx)
 	}
-	for end := time.Now().Add(wait); revision <= since && time.Now().Before(end); {
+	for end := time.Now().Add(limits.Wait); revision <= since && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 		s.withLock(func() { revision = s.revision })
 	}
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -119,6 +119,9 @@
 // Route returns the route that listens on an endpoint, or nil.
 func (t *Table) Route(listen Endpoint) *Route { return t.routes[listen] }
 
+// RouteCount returns the number of routes.
+func (t *Table) RouteCount() int { return len(t.routes) }
+
 // ByTag returns the backend server that owns a tag, or nil.
 func (t *Table) ByTag(tag Tag) *Entry { return t.tags[tag] }
 
