Reset idle flows of dead servers, and decide on a lost domain at once

Flows of routes that are not idempotent were kept until the server's process was known to have ended, also without a request in progress.

A request counts as answered if it was sent long enough before the last sign of life of the server or its domain, because answers of one packet are acknowledged only with the next request. A request that is in progress on a server which only does not respond is kept, as before.

When a whole domain is lost, peers cannot report on each of its servers: one report decides for all unless a peer reaches any of them, and a report ends the doubt at once instead of at the next check.

--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -84,7 +84,10 @@
 	node, err := gossip.New(gossip.Config{
 		Name: b.name, Domain: b.domain, Address: balancerAddress(b.index), Seeds: d.seeds(),
 		Rand: rand.New(rand.NewPCG(d.random.Uint64(), 1)), Log: discardLogger(), Replica: b.replica,
-		HandleReachabilityQuery: b.answerQuery, HandleReachabilityReport: b.core.HandleReachabilityReport,
+		HandleReachabilityQuery: b.answerQuery,
+		HandleReachabilityReport: func(peer string, report tagged.ReachabilityReport, now time.Time) {
+			b.sendResets(b.core.HandleReachabilityReport(peer, report, now))
+		},
 		DueLoadReports: b.core.DueLoadReports, HandlePeerLoads: b.core.SetPeerLoads, OnConfirm: b.core.ConfirmTable,
 		OnChange: func(_ string, now time.Time) { b.handleChange(now) },
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -191,8 +191,10 @@
 		HandleReachabilityQuery: func(from netip.AddrPort, tags []state.Tag, now time.Time) {
 			b.answerReachabilityQuery(ctx, from, tags, now)
 		},
-		HandleReachabilityReport: b.core.HandleReachabilityReport,
-		OnChange:                 b.handleReplicaChange,
+		HandleReachabilityReport: func(peer string, report tagged.ReachabilityReport, now time.Time) {
+			b.sendResets(b.core.HandleReachabilityReport(peer, report, now))
+		},
+		OnChange: b.handleReplicaChange,
 		OnConfirm: func(at time.Time) {
 			b.core.ConfirmTable(at)
 			b.confirmedNanoseconds.Store(int64(at.Sub(b.startedAt)))
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -68,10 +68,10 @@
 	failedChecks int
 	checking     bool
 	lastSuccess  time.Time
-	// changedAt is the time at which the server became suspected or dead.
-	changedAt time.Time
-	nextCheck time.Time
-	recoverAt time.Time
+	// suspectedAt is the time at which the server last became suspected.
+	suspectedAt time.Time
+	nextCheck   time.Time
+	recoverAt   time.Time
 	// unconfirmedRecoveries is the number of answered checks since the last passive
 	// success.
 	unconfirmedRecoveries int
@@ -102,6 +102,9 @@
 	}
 }
 
+// SuspectedAt returns the time at which the server last became suspected, or the zero time.
+func (h *Health) SuspectedAt() time.Time { return h.suspectedAt }
+
 func (h *Health) markAlive() {
 	h.state = Alive
 	h.failedChecks = 0
@@ -117,7 +120,7 @@
 		return false
 	}
 	h.state = Suspected
-	h.changedAt = now
+	h.suspectedAt = now
 	h.failedChecks = 0
 	h.nextCheck = now
 	h.recoverAt = time.Time{}
@@ -155,6 +158,18 @@
 	return true
 }
 
+// ConfirmDead records that the failed checks of an unreachable server were conclusive after all,
+// because another balancer gets no answer from it either. It reports whether the server has become
+// dead.
+func (h *Health) ConfirmDead(now time.Time) bool {
+	if h.state != Unreachable || h.failedChecks < failuresUntilDead {
+		return false
+	}
+	h.state, h.processEnded = Dead, false
+	h.nextCheck = now.Add(deadCheckInterval)
+	return true
+}
+
 // RecordCheck records the result of a check. It reports whether the server has become
 // dead. If inconclusive is set, a check without an answer may be due to a fault of
 // this balancer.
@@ -186,7 +201,7 @@
 		h.nextCheck = now.Add(unreachableCheckInterval)
 		return false
 	}
-	h.state, h.processEnded, h.changedAt = Dead, result == Refused, now
+	h.state, h.processEnded = Dead, result == Refused
 	h.nextCheck = now.Add(deadCheckInterval)
 	return true
 }
--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -303,11 +303,11 @@
 		c.Counters.Restarted.Add(1)
 		c.config.Log.Info("tagged: backend server restarted", "Backend", entry.Name, "Revision", entry.Revision.Counter())
 		t.health = health.Health{}
-		c.resetFlows(t, "backend server has started anew", true)
+		c.resetAllFlows(t, "backend server has started anew")
 	}
 	if entry.AddressReused && !before.AddressReused {
 		c.config.Log.Info("tagged: backend server's address now belongs to another server", "Backend", entry.Name)
-		c.resetFlows(t, "backend server is gone", true)
+		c.resetAllFlows(t, "backend server is gone")
 	}
 	if !entry.Published() && before.Published() && c.suspect(t, now, now) {
 		c.config.Log.Info("tagged: backend server is no longer published", "Backend", entry.Name)
@@ -343,14 +343,17 @@
 		c.Counters.DroppedUnknown.Add(1)
 		return Verdict{Action: Drop}
 	}
+	if r != nil && t.dead() && c.canReset(r, t) {
+		return c.resetOnPacket(p, r, t)
+	}
 	if r == nil && !p.Abort {
 		r = c.adopt(p, t)
 	}
 	if r != nil {
 		c.observePacket(r, t, p, now)
 	}
-	if t.dead() {
-		return c.handleDeadServer(p, r, t)
+	if t.dead() && (r == nil || c.canReset(r, t)) {
+		return c.resetOnPacket(p, r, t)
 	}
 	if p.Abort && r != nil {
 		c.removeFlow(r)
@@ -358,28 +361,6 @@
 	return c.forward(t)
 }
 
-// handleDeadServer decides on a packet of a flow whose server is dead: a reset lets
-// the caller retry. If the server may only be unreachable and the flow's requests
-// are not idempotent, the packet is forwarded, as the answer may still arrive.
-func (c *Core) handleDeadServer(p *Packet, r *record, t *target) Verdict {
-	if r != nil && !c.canReset(r, t.processEnded()) {
-		return c.forward(t)
-	}
-	if r != nil {
-		c.removeFlow(r)
-	}
-	if p.Abort {
-		return Verdict{Action: Drop}
-	}
-	c.Counters.Resets.Add(1)
-	c.logFlow("tagged: flow reset", p.Key, t, "backend server is dead")
-	return Verdict{Action: Refuse}
-}
-
-// processEnded reports whether the server's process is known to have ended, so that
-// it cannot answer any more.
-func (t *target) processEnded() bool { return t.entry.AddressReused || t.health.ProcessEnded() }
-
 func (c *Core) forward(t *target) Verdict {
 	c.Counters.Forwarded.Add(1)
 	if t.evacuated {
--- a/internal/tagged/core_test.go
+++ b/internal/tagged/core_test.go
@@ -71,6 +71,15 @@
 	return h
 }
 
+// tags returns the tags of all published backend servers.
+func (h *harness) tags() []state.Tag {
+	var tags []state.Tag
+	for index := range h.backends {
+		tags = append(tags, h.backends[index].Tag())
+	}
+	return tags
+}
+
 func (h *harness) configuration() *state.Configuration {
 	c := configuration()
 	c.Services = h.services
--- a/internal/tagged/domain.go
+++ b/internal/tagged/domain.go
@@ -19,6 +19,16 @@
 type domainHealth struct {
 	lastSuccess time.Time
 	failures    int
+	// peerSilentAt and peerReachedAt are the times at which a peer last reported that it gets no
+	// answer from a server of the domain, or that it reaches one.
+	peerSilentAt, peerReachedAt time.Time
+}
+
+// confirmedByPeer reports whether the domain does not respond to this balancer, a peer gets no
+// answer from it either, and none reaches any of its servers. The domain is then one event: its
+// servers need no report each, which peers could not give for all of them at once.
+func (d *domainHealth) confirmedByPeer(now time.Time) bool {
+	return d.failures >= domainFailureThreshold && now.Sub(d.peerSilentAt) < peerReportTTL && now.Sub(d.peerReachedAt) >= peerReportTTL
 }
 
 func (c *Core) domainOf(t *target) *domainHealth {
--- a/internal/tagged/doubt.go
+++ b/internal/tagged/doubt.go
@@ -109,9 +109,9 @@
 	switch {
 	case now.Before(self.lateUntil), now.Sub(t.peerReachedAt) < peerReportTTL:
 		return true
-	case c.peerCount == 0, now.Sub(t.peerSilentAt) < peerReportTTL:
-		// No peer can be queried, or a peer has confirmed that the server does not
-		// answer.
+	case c.peerCount == 0, now.Sub(t.peerSilentAt) < peerReportTTL, c.domainOf(t).confirmedByPeer(now):
+		// No peer can be queried, or a peer has confirmed that the server, or its whole
+		// failure domain, does not answer.
 		return false
 	}
 	return self.localFaultSuspected || t.health.FailedChecks() < failuresWithoutPeers
@@ -136,13 +136,17 @@
 	return queries
 }
 
-// HandleReachabilityReport applies a peer's report on backend servers.
-func (c *Core) HandleReachabilityReport(peer string, report ReachabilityReport, now time.Time) {
+// HandleReachabilityReport applies a peer's report on backend servers and returns the flows to
+// reset. Servers whose checks have failed, and which the report confirms to be silent, are dead at
+// once.
+func (c *Core) HandleReachabilityReport(peer string, report ReachabilityReport, now time.Time) []Reset {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.now = now
 	for _, tag := range report.Alive {
 		if t := c.byTag[tag]; t != nil {
 			t.peerReachedAt = now
+			c.domainOf(t).peerReachedAt = now
 			c.reachabilityStale = true
 			if t.health.RecordPeerSuccess() {
 				c.Counters.Vouched.Add(1)
@@ -153,8 +157,19 @@
 	for _, tag := range report.Silent {
 		if t := c.byTag[tag]; t != nil {
 			t.peerSilentAt = now
+			c.domainOf(t).peerSilentAt = now
 		}
 	}
+	if len(report.Silent) == 0 {
+		return nil
+	}
+	for _, t := range c.suspects {
+		if t.health.State() == health.Unreachable && !c.checkInconclusive(t, now) && t.health.ConfirmDead(now) {
+			c.reachabilityStale = true
+			c.declareDead(t, health.Silent, now)
+		}
+	}
+	return c.drainResets()
 }
 
 // AnswerReachabilityQuery answers a peer's query from recent observations. It also
--- a/internal/tagged/evacuate.go
+++ b/internal/tagged/evacuate.go
@@ -9,13 +9,19 @@
 // dropping their packets would make callers wait until their deadline for requests that the server
 // can still answer. If all domains are evacuated, new flows are refused at once.
 //
-// Only the table decides. A balancer without contact to the platform and to its peers continues
-// with the evacuations that it knows, and one that starts has them before it is ready, because they
-// are part of the state that it loads.
+// Only the table decides. A balancer that starts has the evacuations before it is ready, because they
+// are part of the state that it loads. One without contact to the platform and to its peers continues
+// with those that it knows, as long as it reaches any other server. If the evacuated domain itself is
+// cut off, its balancers reach no other server, and cannot know whether the evacuation was taken back
+// meanwhile: once their table has not been confirmed for a while, they place flows on the domain's
+// servers that respond. Refusing them was rejected, because their callers have no other way.
 
 import (
 	"slices"
 	"time"
+
+	"wigeonmoor.example/internal/health"
+	"wigeonmoor.example/internal/state"
 )
 
 // EvacuationStatus is the progress of an evacuation as known to this balancer. The admin interface
@@ -60,6 +66,26 @@
 	return returned
 }
 
+// addEvacuatedCandidates adds the evacuated servers of the balancer's own failure domain to the
+// candidates for a new flow if the table may be out of date and no candidate is reachable.
+func (c *Core) addEvacuatedCandidates(service string, excluded *target, now time.Time) {
+	if !c.table.Evacuated(c.config.Domain) || now.Sub(c.tableConfirmedAt) <= maxRefusalTableAge {
+		return
+	}
+	for _, t := range c.candidateTargets {
+		if t.health.State() != health.Unreachable {
+			return
+		}
+	}
+	for _, entry := range c.table.Service(service) {
+		t := c.byName[entry.Name]
+		usable := entry.Domain == c.config.Domain && entry.Published() && entry.State == state.Serving && !entry.Shadowed
+		if usable && t != excluded && t.health.State() == health.Alive {
+			c.addCandidate(t, now)
+		}
+	}
+}
+
 // countEvacuatedPacket counts a packet that is forwarded to a server of an evacuated domain.
 func (c *Core) countEvacuatedPacket(t *target) {
 	if e := c.evacuations[t.entry.Domain]; e != nil {
--- a/internal/tagged/evacuate_test.go
+++ b/internal/tagged/evacuate_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"wigeonmoor.example/internal/health"
 	"wigeonmoor.example/internal/state"
 	"wigeonmoor.example/internal/tagged"
 )
@@ -119,6 +120,23 @@
 	h.is.Equal(h.domainOf(h.openFlow(2003, orders).lastVerdict), "vannes")
 }
 
+// Callers of an evacuated domain that is cut off have only its servers left. They were refused for
+// as long as the cut lasted.
+func TestEvacuatedDomainThatIsCutOff(t *testing.T) {
+	h := newDomainHarness(t)
+	h.setEvacuated("lorient")
+	remote := []string{"i-0002", "i-0004", "i-0006", "i-0008"}
+	for port := range 12 {
+		h.openFlow(2000+port, feed)
+	}
+	h.advance(time.Second, health.Silent, remote...)
+	h.is.Equal(h.openFlow(3000, feed).lastVerdict.Action, tagged.Refuse) // the table is recent
+	h.advance(1500*time.Millisecond, health.Silent, remote...)
+	h.is.Equal(h.domainOf(h.openFlow(3001, feed).lastVerdict), "lorient")
+	h.setEvacuated("lorient") // in contact again
+	h.is.Equal(h.openFlow(3002, feed).lastVerdict.Action, tagged.Refuse)
+}
+
 // coldHarness returns a harness of a balancer named entry-1, of whose service cold servers have a
 // limited rate. The first four servers, two of each domain, are cold for 2 s.
 func coldHarness(t *testing.T, coldCount int) *harness {
--- a/internal/tagged/place.go
+++ b/internal/tagged/place.go
@@ -167,6 +167,7 @@
 			c.addCandidate(t, now)
 		}
 	}
+	c.addEvacuatedCandidates(service, excluded, now)
 	if len(c.candidateTargets) == 0 && !c.limitReached {
 		c.addLapsedCandidates(c.table.Service(service), excluded, now)
 	}
--- a/internal/tagged/record.go
+++ b/internal/tagged/record.go
@@ -31,8 +31,11 @@
 	// acknowledgment of its answer, or until inFlightTimeout. It is also set during the
 	// handshake.
 	requestInFlight bool
-	idempotent      bool
-	acknowledged    uint32
+	// unanswered is set from the first packet of a request until the caller acknowledges new
+	// data, however long that takes.
+	unanswered   bool
+	idempotent   bool
+	acknowledged uint32
 	// nextSequence is the position after the last data byte received from the caller.
 	nextSequence uint32
 	// bytesSent is the number of data bytes received from the caller.
@@ -249,6 +252,7 @@
 	}
 	if sequenceAfter(p.Acknowledged, r.acknowledged) {
 		r.acknowledged = p.Acknowledged
+		r.unanswered = false
 		r.failureCounted = false
 		if r.requestInFlight {
 			c.statsFor(r.key.Listen).observeAnswerTime(now.Sub(r.sentAt))
@@ -297,6 +301,7 @@
 		r.bytesSent += int(end - r.nextSequence)
 		r.nextSequence = end
 		r.sentAt = now
+		r.unanswered = true
 		r.failureCounted = false
 		c.setRequestInFlight(r, true)
 		return
--- a/internal/tagged/sweep.go
+++ b/internal/tagged/sweep.go
@@ -151,9 +151,7 @@
 			"Vouched", now.Sub(t.peerReachedAt) < peerReportTTL, "Doubt", c.selfCheck.localFaultSuspected)
 	}
 	if died {
-		c.Counters.Died.Add(1)
-		c.config.Log.Info("tagged: backend server is dead", "Backend", backend, "Check", result, "SinceSign", sinceSuccess(t, now))
-		c.resetFlows(t, "backend server is dead", t.processEnded())
+		c.declareDead(t, result, now)
 	}
 	if before == health.Dead && t.health.State() != health.Dead {
 		c.Counters.Returned.Add(1)
@@ -162,24 +160,11 @@
 	return c.drainResets()
 }
 
-// canReset reports whether a flow of a dead server may be reset. A request that is not
-// idempotent may have run already, and its answer may still arrive unless the server's
-// process has ended.
-func (c *Core) canReset(r *record, processEnded bool) bool {
-	return processEnded || r.idempotent || !r.opened
-}
-
-// resetFlows resets the flows of a dead server, so that their callers retry.
-func (c *Core) resetFlows(t *target, reason string, processEnded bool) {
-	c.flows.each(func(r *record) {
-		if r.target != t || r.closed || !c.canReset(r, processEnded) {
-			return
-		}
-		c.Counters.Resets.Add(1)
-		c.resets = append(c.resets, Reset{Key: r.key, Sequence: r.acknowledged})
-		c.logFlow("tagged: flow reset", r.key, t, reason)
-		c.removeFlow(r)
-	})
+// declareDead resets the flows of a server that has become dead.
+func (c *Core) declareDead(t *target, result health.Result, now time.Time) {
+	c.Counters.Died.Add(1)
+	c.config.Log.Info("tagged: backend server is dead", "Backend", t.entry.Name, "Check", result, "SinceSign", sinceSuccess(t, now))
+	c.resetFlows(t, "backend server is dead")
 }
 
 // removeFlowsOf removes the records of the flows of a server that is no longer in the
