Learn the cost of requests and how well servers serve

Requests that look alike cost servers very different amounts of work, and servers that accept flows may answer none. A balancer knew of a server only whether it lives and how many requests it has.

Package cost keeps the distribution of a route's answer times; the load of a server is the work that its requests are still expected to be, and slots of slow servers count less. Evidence and speeds travel with the load reports.

It is switched on by Balancing.Learn, or by the platform's contract that health checks may be wrong. Sizes of answers were left out: errors of a server look like answers here.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,6 +64,8 @@
 	// Codec parses and builds the platform's packets, Store reads its published items.
 	Codec tagged.Codec
 	Store source.Store
+	// LearnServers lets the balancer learn how well backend servers serve.
+	LearnServers bool
 	// ReadyPath is the HTTP path of the readiness endpoint.
 	ReadyPath string
 }
@@ -169,6 +171,7 @@
 			MaxFlows:         settings.MaxFlows,
 			ColdOverage:      settings.ColdOverage,
 			ColdSlack:        settings.ColdSlack,
+			LearnServers:     config.LearnServers,
 			Rand:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			Log:              config.Log,
 			DecisionLog:      decisionLog,
--- a/internal/gossip/collect.go
+++ b/internal/gossip/collect.go
@@ -159,21 +159,44 @@
 	n.config.HandlePeerLoads(group, decodeLoads(message.Loads), now)
 }
 
+// eighths is the number of units per request in which learned loads are sent.
+const eighths = 8
+
 func encodeLoads(loads []tally.Load) *wire.Loads {
 	message := &wire.Loads{}
+	learned := false
 	for _, load := range loads {
 		message.Tags = append(message.Tags, uint32(load.Tag))
 		message.Busy = append(message.Busy, uint32(load.InFlight))
 		message.Open = append(message.Open, uint32(load.OpenFlows))
+		learned = learned || load.Work > 0 || load.Good > 0 || load.Bad > 0
+	}
+	if !learned {
+		return message
+	}
+	for _, load := range loads {
+		message.Work = append(message.Work, uint32(load.Work*eighths))
+		message.Good = append(message.Good, uint32(load.Good*eighths))
+		message.Bad = append(message.Bad, uint32(load.Bad*eighths))
+		message.TookMilliseconds = append(message.TookMilliseconds, uint32(load.Took.Milliseconds()))
+		message.ExpectedMilliseconds = append(message.ExpectedMilliseconds, uint32(load.Expected.Milliseconds()))
 	}
 	return message
 }
 
 func decodeLoads(message *wire.Loads) []tally.Load {
 	count := min(len(message.GetTags()), len(message.GetBusy()), len(message.GetOpen()))
+	learned := min(len(message.GetWork()), len(message.GetGood()), len(message.GetBad()), len(message.GetTookMilliseconds()), len(message.GetExpectedMilliseconds()))
 	list := make([]tally.Load, count)
 	for index := range list {
-		list[index] = tally.Load{Tag: state.Tag(message.Tags[index]), InFlight: int(message.Busy[index]), OpenFlows: int(message.Open[index])}
+		load := tally.Load{Tag: state.Tag(message.Tags[index]), InFlight: int(message.Busy[index]), OpenFlows: int(message.Open[index])}
+		if index < learned {
+			load.Work = float64(message.Work[index]) / eighths
+			load.Good, load.Bad = float64(message.Good[index])/eighths, float64(message.Bad[index])/eighths
+			load.Took = time.Duration(message.TookMilliseconds[index]) * time.Millisecond
+			load.Expected = time.Duration(message.ExpectedMilliseconds[index]) * time.Millisecond
+		}
+		list[index] = load
 	}
 	return list
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -44,6 +44,10 @@
 	// ColdOverage and ColdSlack say by how much the published rate limit of a cold backend server
 	// may be exceeded: a factor, and a number of requests per second.
 	ColdOverage, ColdSlack float64
+	// Contracts are the words by which the platform names what this deployment relies on.
+	Contracts []string
+	// Learn says whether the balancer learns the cost of requests and how well servers serve.
+	Learn Learning
 	// LogDecisions is set if each routing or placement decision is logged.
 	LogDecisions bool
 	// Linger is how long a leaving balancer continues to forward packets.
@@ -93,6 +97,17 @@
 	Tagged Binding = "Tagged"
 )
 
+// Learning says whether the balancer learns how backend servers serve.
+type Learning string
+
+// The values of Learning.
+const (
+	LearnOn  Learning = "On"
+	LearnOff Learning = "Off"
+	// LearnAuto learns if Contracts asks for it.
+	LearnAuto Learning = "Auto"
+)
+
 // Key is one key of the settings file.
 type Key struct {
 	Section     string
@@ -121,6 +136,8 @@
 		{"Peers", "Seeds", "none", "Comma-separated IP addresses of some other balancers. Ports are ignored, because all balancers use the same one; with Tagged only.", optionalSetter(setSeeds), Tagged},
 		{"Peers", "Advertise", "none", "Address at which other balancers reach this one if it differs from Listen.Peer, for example behind network address translation; with Tagged only.", optionalSetter(addressSetter(func(s *Settings) *netip.AddrPort { return &s.AdvertisedAddress })), Tagged},
 		{"Platform", "URL", "", "Base URL of the configuration service.", setURL, ""},
+		{"Platform", "Contracts", "none", "Comma-separated words by which the platform names what this deployment relies on; with Tagged only.", optionalSetter(setContracts), Tagged},
+		{"Balancing", "Learn", string(LearnAuto), "Whether to learn the cost of requests and how well backend servers serve, and to place flows accordingly: On, Off, or Auto for what Platform.Contracts asks for; with Tagged only.", setLearn, Tagged},
 		{"Callers", "Return", "", "UDP address of the fabric that delivers packets to callers; with Owned only.", addressSetter(func(s *Settings) *netip.AddrPort { return &s.CallerReturnAddress }), Owned},
 		{"Limits", "ControlBytesPerSecond", "4000", "Rate limit for deferrable control traffic, in bytes per second.", integerSetter(func(s *Settings) *int { return &s.ControlBytesPerSecond }, 500, 100_000_000), ""},
 		{"Limits", "MaxFlows", "2000000", "Maximum number of flow records.", integerSetter(func(s *Settings) *int { return &s.MaxFlows }, 1000, 100_000_000), ""},
@@ -208,6 +225,22 @@
 	return errors.New("must be Owned or Tagged")
 }
 
+func setContracts(settings *Settings, value string) error {
+	for _, word := range strings.Split(value, ",") {
+		settings.Contracts = append(settings.Contracts, strings.TrimSpace(word))
+	}
+	return nil
+}
+
+func setLearn(settings *Settings, value string) error {
+	switch Learning(value) {
+	case LearnOn, LearnOff, LearnAuto:
+		settings.Learn = Learning(value)
+		return nil
+	}
+	return errors.New("must be On, Off or Auto")
+}
+
 func setSeeds(settings *Settings, value string) error {
 	for _, item := range strings.Split(value, ",") {
 		item, _, _ = strings.Cut(strings.TrimSpace(item), ":")
--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -66,6 +66,9 @@
 	// ColdOverage and ColdSlack say by how much the rate limit of a cold server may be exceeded:
 	// the limit is the service's ColdRate times ColdOverage plus ColdSlack requests per second.
 	ColdOverage, ColdSlack float64
+	// LearnServers lets the balancer learn the cost of requests and how well servers serve, and
+	// place flows accordingly.
+	LearnServers bool
 	// Policy ranks the backend servers for a new flow. If it is nil, a policy.WaterFiller
 	// chooses.
 	Policy policy.Policy
@@ -122,6 +125,7 @@
 	// members share the rate limits of cold servers. membersChanged counts the changes.
 	members        Members
 	membersChanged int
+	learning       learning
 	// limitReached is set if the last choice left out servers because of their rate limits.
 	limitReached bool
 }
@@ -153,6 +157,8 @@
 	// Vouched counts servers that this balancer considered dead while a peer reached
 	// them.
 	Vouched Counter
+	// Ejected counts ejections of servers that do not answer requests.
+	Ejected Counter
 }
 
 // Counter counts one kind of decision or event.
@@ -176,6 +182,7 @@
 	// evacuated is set while the server's failure domain is evacuated.
 	evacuated bool
 	cold      coldLimit
+	learned   learned
 	// silentAt is the time of the last check without an answer. peerReachedAt and
 	// peerSilentAt are the times at which a peer last reported that it reaches the
 	// server, or that it gets no answer from it.
@@ -216,6 +223,7 @@
 		domains:    make(map[string]*domainHealth),
 
 		evacuations: make(map[string]*evacuation),
+		learning:    newLearning(),
 	}
 }
 
@@ -303,6 +311,7 @@
 		c.Counters.Restarted.Add(1)
 		c.config.Log.Info("tagged: backend server restarted", "Backend", entry.Name, "Revision", entry.Revision.Counter())
 		t.health = health.Health{}
+		t.learned = learned{work: t.learned.work}
 		c.resetAllFlows(t, "backend server has started anew")
 	}
 	if entry.AddressReused && !before.AddressReused {
--- a/internal/tagged/load.go
+++ b/internal/tagged/load.go
@@ -135,8 +135,10 @@
 func (g *group) ownLoads() []tally.Load {
 	var list []tally.Load
 	for _, t := range g.targets {
-		if t.inFlight != 0 || t.openFlows != 0 {
-			list = append(list, tally.Load{Tag: t.entry.Tag, InFlight: max(t.inFlight, 0), OpenFlows: max(t.openFlows, 0)})
+		if t.inFlight != 0 || t.openFlows != 0 || t.learned.evidence.Bad > 0 {
+			load := tally.Load{Tag: t.entry.Tag, InFlight: max(t.inFlight, 0), OpenFlows: max(t.openFlows, 0)}
+			t.learned.addTo(&load)
+			list = append(list, load)
 		}
 	}
 	return list
@@ -241,6 +243,7 @@
 	for _, load := range loads {
 		if t := c.byTag[load.Tag]; t != nil {
 			t.peerInFlight, t.peerOpenFlows = load.InFlight, load.OpenFlows
+			t.learned.setPeers(load)
 		}
 	}
 }
@@ -249,6 +252,7 @@
 func (g *group) clearPeerLoads() {
 	for _, t := range g.targets {
 		t.peerInFlight, t.peerOpenFlows = 0, 0
+		t.learned.setPeers(tally.Load{})
 	}
 }
 
@@ -273,14 +277,14 @@
 // targetsForService returns the servers of a service on which a flow may be placed:
 // its subset, whose load is known, or all its servers if too few in the subset are
 // healthy.
-func (c *Core) targetsForService(service string) []*target {
+func (c *Core) targetsForService(service string, now time.Time) []*target {
 	known, all := c.groups.subsets[service], c.eligible[service]
 	if len(known) == len(all) {
 		return all
 	}
 	healthy := 0
 	for _, t := range known {
-		if t.health.State() == health.Alive {
+		if t.health.State() == health.Alive && !t.ejected(now) {
 			if healthy++; healthy == minHealthySubset {
 				return known
 			}
--- a/internal/tagged/place.go
+++ b/internal/tagged/place.go
@@ -151,7 +151,7 @@
 func (c *Core) chooseTarget(route *state.Route, excluded *target, now time.Time) *target {
 	service := c.drawService(route)
 	c.candidateTargets, c.policyCandidates = c.candidateTargets[:0], c.policyCandidates[:0]
-	eligible := c.targetsForService(service)
+	eligible := c.targetsForService(service, now)
 	c.limitReached = false
 	first, count := 0, len(eligible)
 	if count > maxCandidates {
@@ -215,15 +215,20 @@
 	if now.Before(t.entry.ColdUntil) {
 		slots /= coldStartSlowdown
 	}
+	inFlight, othersInFlight := float64(t.inFlight), float64(t.peerInFlight)
+	if c.config.LearnServers {
+		slots /= t.slowness()
+		inFlight, othersInFlight = t.learned.work, t.learned.peerWork
+	}
 	c.candidateTargets = append(c.candidateTargets, t)
 	c.policyCandidates = append(c.policyCandidates, policy.Candidate{
 		Slots:          slots,
-		InFlight:       float64(t.inFlight + t.peerInFlight),
-		OthersInFlight: float64(t.peerInFlight),
+		InFlight:       inFlight + othersInFlight,
+		OthersInFlight: othersInFlight,
 		OthersAge:      t.group.peerLoadAge(now),
 		OpenFlows:      float64(t.openFlows + t.peerOpenFlows),
 		Remote:         t.entry.Domain != c.config.Domain,
-		Suspected:      t.health.State() != health.Alive,
+		Suspected:      t.health.State() != health.Alive || t.ejected(now),
 	})
 }
 
--- a/internal/tagged/record.go
+++ b/internal/tagged/record.go
@@ -33,7 +33,12 @@
 	requestInFlight bool
 	// unanswered is set from the first packet of a request until the caller acknowledges new
 	// data, however long that takes.
-	unanswered   bool
+	unanswered bool
+	// awaited is set while the answer to a request is awaited, to learn from it. work is what the
+	// request counts in the work of its server.
+	awaited bool
+	work    float32
+
 	idempotent   bool
 	acknowledged uint32
 	// nextSequence is the position after the last data byte received from the caller.
@@ -62,7 +67,9 @@
 }
 
 // needsReview reports whether the record is to be reviewed on each tick.
-func (r *record) needsReview() bool { return r.used && (!r.opened || r.requestInFlight || r.closed) }
+func (r *record) needsReview() bool {
+	return r.used && (!r.opened || r.requestInFlight || r.closed || r.awaited)
+}
 
 func newRecords(limit int) records {
 	return records{limit: limit, index: make(map[Key]int32)}
@@ -178,6 +185,7 @@
 	c.flows.activate(r)
 	t.openFlows++
 	t.inFlight++
+	c.startWork(r)
 }
 
 // adopt adds the record of an open flow that another balancer has placed. It returns
@@ -210,6 +218,7 @@
 	r.sentAt = now
 	t.openFlows++
 	t.inFlight++
+	c.startWork(r)
 	c.countPlacement(t, now)
 }
 
@@ -232,9 +241,11 @@
 	if inFlight {
 		c.flows.activate(r)
 		r.target.inFlight++
+		c.startWork(r)
 		return
 	}
 	r.target.inFlight--
+	c.setWork(r, 0)
 }
 
 func (c *Core) removeFlow(r *record) {
@@ -251,6 +262,7 @@
 		c.completeHandshake(r, t, p, now)
 	}
 	if sequenceAfter(p.Acknowledged, r.acknowledged) {
+		c.learnAnswer(r, p.Acknowledged-r.acknowledged, now)
 		r.acknowledged = p.Acknowledged
 		r.unanswered = false
 		r.failureCounted = false
@@ -264,7 +276,7 @@
 	if p.Last && !r.closed {
 		c.observeFlowBytes(r)
 		c.setRequestInFlight(r, false)
-		r.closed = true
+		r.closed, r.awaited = true, false
 		c.flows.activate(r)
 		r.target.openFlows--
 	}
@@ -302,6 +314,7 @@
 		r.nextSequence = end
 		r.sentAt = now
 		r.unanswered = true
+		r.awaited = c.config.LearnServers
 		r.failureCounted = false
 		c.setRequestInFlight(r, true)
 		return
--- a/internal/tagged/status.go
+++ b/internal/tagged/status.go
@@ -58,6 +58,12 @@
 	Slots int
 	// Evacuated is set while the server's failure domain is evacuated.
 	Evacuated bool
+	// Slowness is how many times as long as usual the server takes, and Good and Bad are the
+	// outcomes of recent requests at all balancers, as far as they are learned. Ejected is set
+	// while the server gets no new flows because of them.
+	Slowness  float64
+	Good, Bad float64
+	Ejected   bool
 	Busy      int
 	PeerBusy  int
 	Open      int
@@ -78,7 +84,8 @@
 		list = append(list, BackendStatus{
 			Backend: entry.Name, Service: entry.Service, Domain: entry.Domain,
 			Health: t.health.State(), Standing: entry.State,
-			Slots: entry.Slots, Evacuated: t.evacuated,
+			Slots: entry.Slots, Evacuated: t.evacuated, Slowness: t.slowness(), Ejected: t.ejected(c.now),
+			Good: t.learned.evidence.Good + t.learned.peerEvidence.Good, Bad: t.learned.evidence.Bad + t.learned.peerEvidence.Bad,
 			Busy: t.inFlight, PeerBusy: t.peerInFlight, Open: t.openFlows, PeerOpen: t.peerOpenFlows,
 		})
 	}
--- a/internal/tagged/sweep.go
+++ b/internal/tagged/sweep.go
@@ -56,6 +56,9 @@
 		}
 	}
 	c.expirePeerLoads(now)
+	if c.config.LearnServers {
+		c.learnOnTick(now)
+	}
 	return c.checks
 }
 
@@ -91,11 +94,28 @@
 		r.failureCounted = true
 		c.recordFailure(r.target, r.sentAt, now, "first packet was not answered")
 	}
+	if r.awaited {
+		c.reviewAwaited(r, now)
+		return
+	}
 	if r.requestInFlight && r.opened && now.Sub(r.sentAt) > c.routeStats[r.key.Listen].inFlightTimeout() {
 		c.setRequestInFlight(r, false)
 	}
 }
 
+// reviewAwaited updates the work of a request whose answer is awaited, or counts it as lost.
+func (c *Core) reviewAwaited(r *record, now time.Time) {
+	age := now.Sub(r.sentAt)
+	if age > c.lostTime(r.key.Listen) {
+		c.learnLost(r, now)
+		c.setRequestInFlight(r, false)
+		return
+	}
+	if r.requestInFlight {
+		c.setWork(r, c.requestWeight(r, age))
+	}
+}
+
 // suspect records that a packet sent to a server at the given time got no answer. It
 // reports whether the server has become suspected.
 func (c *Core) suspect(t *target, sentAt, now time.Time) bool {
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -81,6 +81,22 @@
 	Tag state.Tag
 	// InFlight is the number of in-flight requests, OpenFlows the number of open flows.
 	InFlight, OpenFlows int
+	// Work is the expected work of the in-flight requests, in mean requests. Good and Bad are the
+	// outcomes of recent requests, Took and Expected the times that they took and were expected to
+	// take. All are 0 if the balancers do not learn them.
+	Work, Good, Bad float64
+	Took, Expected  time.Duration
+}
+
+// add adds the load of another balancer on the same server.
+func (l *Load) add(other Load) {
+	l.InFlight += other.InFlight
+	l.OpenFlows += other.OpenFlows
+	l.Work += other.Work
+	l.Good += other.Good
+	l.Bad += other.Bad
+	l.Took += other.Took
+	l.Expected += other.Expected
 }
 
 // serviceDomain is the part of a service in a failure domain.
@@ -225,8 +241,7 @@
 	merged := sums[:0]
 	for _, load := range sums {
 		if last := len(merged) - 1; last >= 0 && merged[last].Tag == load.Tag {
-			merged[last].InFlight += load.InFlight
-			merged[last].OpenFlows += load.OpenFlows
+			merged[last].add(load)
 			continue
 		}
 		merged = append(merged, load)
--- a/wigeond/main.go
+++ b/wigeond/main.go
@@ -104,6 +104,8 @@
 		Codec:     platform.PacketCodec{},
 		Store:     platform.NewStore(settings.PlatformURL),
 		ReadyPath: platform.ReadyPath,
+		LearnServers: settings.Learn == setup.LearnOn ||
+			settings.Learn == setup.LearnAuto && platform.AsksToLearn(settings.Contracts),
 	}, terminate, reload)
 }
 
