--- a/internal/emul/balancer.go
+++ b/internal/emul/balancer.go
@@ -78,7 +78,7 @@
 	b.running, b.frozen, b.leaving, b.version = true, false, false, 0
 	b.replica = state.NewReplica()
 	b.core = tagged.New(tagged.Config{
-		Name: b.name, Domain: b.domain, MaxFlows: 100_000, ColdOverage: coldOverage, ColdSlack: coldSlack, Log: discardLogger(), DecisionLog: discardLogger(), Policy: d.config.Policy,
+		Name: b.name, Domain: b.domain, MaxFlows: 100_000, ColdOverage: coldOverage, ColdSlack: coldSlack, LearnServers: d.config.LearnServers, Log: discardLogger(), DecisionLog: discardLogger(), Policy: d.config.Policy,
 		Rand: rand.New(rand.NewPCG(d.random.Uint64(), 1)),
 	})
 	node, err := gossip.New(gossip.Config{
--- a/internal/emul/caller.go
+++ b/internal/emul/caller.go
@@ -23,6 +23,8 @@
 	maxRetries = 2
 	// retryDelay is the time from a failed attempt to the next one.
 	retryDelay = 20 * time.Millisecond
+	// delayedAcknowledgment is the time after which a single packet is acknowledged.
+	delayedAcknowledgment = 40 * time.Millisecond
 	// meanThinkTime is the mean time from the end of a request to the caller's next one.
 	meanThinkTime = 300 * time.Millisecond
 )
@@ -220,8 +222,16 @@
 	}
 	f.answerReceived = number
 	f.acknowledged += 600
+	// Callers acknowledge an answer of a single packet later.
+	acknowledge := func() {
+		if !f.closed {
+			f.send(tagged.Packet{Sequence: uint32(number+1) * 100}, request{})
+		}
+	}
 	if f.deployment().random.Float64() >= f.class.SinglePacketShare {
-		f.send(tagged.Packet{Sequence: uint32(number+1) * 100}, request{})
+		acknowledge()
+	} else if f.deployment().config.LearnServers {
+		f.deployment().after(delayedAcknowledgment, acknowledge)
 	}
 	if success {
 		if f.caller.flow == f && !f.caller.finished {
--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -43,6 +43,8 @@
 	// and between two of them. CallerDelay is the one-way delay between callers and the
 	// deployment.
 	IntraDomainDelay, CrossDomainDelay, CallerDelay time.Duration
+	// LearnServers lets the balancers learn how servers serve.
+	LearnServers bool
 	// Policy selects the backend servers for new flows. If it is nil, the balancers use
 	// their default policy.
 	Policy policy.Policy
--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -248,6 +248,7 @@
 	lossRate float64
 	// coldRate is the rate of cold servers in requests per second, 0 for no limit.
 	coldRate float64
+	learn    bool
 	faults   []string
 	// gapsMS are the pauses after the faults, in milliseconds.
 	gapsMS []int
@@ -261,6 +262,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		config := emul.TimerServiceConfig(s.seed)
 		config.LossRate = s.lossRate
+		config.LearnServers = s.learn
 		for index := range config.Services {
 			config.Services[index].ColdRate, config.Services[index].ColdStart = s.coldRate, 2*time.Second
 		}
@@ -313,13 +315,14 @@
 	rapid.Check(t, func(r *rapid.T) {
 		seed := rapid.Uint64().Draw(r, "seed")
 		lossRate := rapid.SampledFrom([]float64{0, 0, 0.02}).Draw(r, "loss")
-		faults := rapid.SliceOfN(rapid.SampledFrom([]string{"kill", "restart", "freeze", "crash", "dark", "drain", "add", "cut", "heal", "down", "up", "drop", "configure", "refuse", "restore", "evacuate", "return", "return cold"}), 1, 8).Draw(r, "steps")
+		faults := rapid.SliceOfN(rapid.SampledFrom([]string{"kill", "restart", "freeze", "crash", "dark", "drain", "add", "cut", "heal", "down", "up", "drop", "configure", "refuse", "restore", "evacuate", "return", "return cold", "hang", "slow"}), 1, 8).Draw(r, "steps")
 		gapsMS := rapid.SliceOfN(rapid.IntRange(0, 2500), len(faults), len(faults)).Draw(r, "gaps")
 		target := rapid.IntRange(0, 7).Draw(r, "target")
 		coldRate := rapid.SampledFrom([]float64{0, 0, 1, 6}).Draw(r, "cold rate")
-		violations := faultSequence{seed: seed, lossRate: lossRate, coldRate: coldRate, faults: faults, gapsMS: gapsMS, target: target}.run(t)
+		learn := rapid.Bool().Draw(r, "learn")
+		violations := faultSequence{seed: seed, lossRate: lossRate, coldRate: coldRate, learn: learn, faults: faults, gapsMS: gapsMS, target: target}.run(t)
 		if len(violations) > 0 {
-			r.Fatalf("%v after %v, cold rate %v: %s", faults, gapsMS, coldRate, violations[0])
+			r.Fatalf("%v after %v, cold rate %v, learn %v: %s", faults, gapsMS, coldRate, learn, violations[0])
 		}
 	})
 }
@@ -354,6 +357,10 @@
 		for offset := range 3 {
 			d.Balancers[(target+offset)%len(d.Balancers)].DenyStoreAccess(6 * time.Second)
 		}
+	case "hang":
+		server.SetFault(0.6, 1)
+	case "slow":
+		server.SetFault(0, 6)
 	case "evacuate":
 		d.SetEvacuated(target%4, true, false)
 	case "return", "return cold":
--- a/internal/emul/server.go
+++ b/internal/emul/server.go
@@ -23,6 +23,9 @@
 	// busySlots is the number of requests in progress, queue holds those that wait.
 	busySlots int
 	queue     []job
+	// lostShare is the share of its requests that the server accepts and never answers, and
+	// slowness the factor by which it is slower than usual. Its health checks succeed.
+	lostShare, slowness float64
 	// flows holds the open flows.
 	flows map[*flow]bool
 	// recentFlows holds the times of the new flows of the last second, while the server's rate is
@@ -124,6 +127,10 @@
 	s.deployment.after(expiryDelay, s.removeFromStore)
 }
 
+// SetFault makes the server lose a share of its requests, or serve them more slowly by a factor,
+// while its health checks succeed. 0 and 1 end the fault.
+func (s *Server) SetFault(lostShare, slowness float64) { s.lostShare, s.slowness = lostShare, slowness }
+
 // ExpireEntry removes the server's entry from the store, as if its heartbeats were lost.
 // The server continues to run.
 func (s *Server) ExpireEntry() { s.removeFromStore() }
@@ -215,6 +222,9 @@
 		return
 	}
 	f.requestReceived = req.number
+	if s.deployment.random.Float64() < s.lostShare {
+		return
+	}
 	switch {
 	case s.busySlots < s.service.Slots:
 		s.process(job{f, req})
@@ -239,7 +249,11 @@
 // process occupies a slot with a job, then answers it and starts the next queued job.
 func (s *Server) process(j job) {
 	s.busySlots++
-	s.deployment.after(j.request.workTime, func() {
+	workTime := j.request.workTime
+	if s.slowness > 0 {
+		workTime = time.Duration(float64(workTime) * s.slowness)
+	}
+	s.deployment.after(workTime, func() {
 		s.busySlots--
 		if s.stopped {
 			return
