wigeonctl: check a configuration of the platform before it is sent

Decodes with the balancers' decoder and reports errors with their place and a suggestion, entries that can never match, limits that contradict each other, and the differences from the configuration in force, which a balancer serves at /configuration.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,6 +112,8 @@
 	configurationVersion atomic.Uint64
 	// platformEpoch is the epoch of the platform's latest response.
 	platformEpoch atomic.Uint32
+	// configuration is the configuration in the core's table, nil before the first one.
+	configuration atomic.Pointer[state.Configuration]
 	// stateBytes is the approximate size of the response to a full read of the platform.
 	stateBytes atomic.Int64
 	// droppedWork counts closures that did not fit into the queue.
@@ -266,6 +268,7 @@
 	b.nextTableAt = now.Add(time.Duration(len(table.Entries())) * tableIntervalPerBackend)
 	b.sendResets(b.core.SetTable(table, now))
 	b.configurationVersion.Store(uint64(table.Version))
+	b.configuration.Store(b.replica.Configuration())
 	b.stateBytes.Store(int64(table.RouteCount())*routeResponseBytes + int64(len(table.Entries()))*serverResponseBytes)
 	b.log.Info("state: view in force", "Epoch", table.Revision.Epoch(), "Revision", table.Revision.Counter(), "Version", table.Version, "Backends", len(table.Entries()), "Evacuated", table.EvacuatedDomains(), "Source", source)
 }
--- a/internal/entry/ready.go
+++ b/internal/entry/ready.go
@@ -29,6 +29,9 @@
 	admin.HandleFunc("GET /backends", func(w http.ResponseWriter, _ *http.Request) {
 		b.writeJSON(w, "/backends", b.core.Backends())
 	})
+	admin.HandleFunc("GET /configuration", func(w http.ResponseWriter, _ *http.Request) {
+		b.writeJSON(w, "/configuration", b.configuration.Load())
+	})
 	admin.HandleFunc("GET /evacuations", func(w http.ResponseWriter, _ *http.Request) {
 		b.writeJSON(w, "/evacuations", b.core.Evacuations())
 	})
--- a/wigeonctl/main.go
+++ b/wigeonctl/main.go
@@ -17,7 +17,7 @@
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
-	for _, command := range slices.Concat(fileCommands(), fleetCommands(), logCommands()) {
+	for _, command := range slices.Concat(fileCommands(), lintCommands(), fleetCommands(), logCommands()) {
 		subcommands.Register(command, "")
 	}
 	flag.Parse()
