Count answers that are far shorter than usual as failures of the server

Errors come at once, so that such servers even looked fast.

A limit in bytes was ruled out, as answers differ by route.

--- a/internal/tagged/learn.go
+++ b/internal/tagged/learn.go
@@ -7,7 +7,7 @@
 // Callers acknowledge every answer, so the time from a request to the first acknowledgment of new
 // data is that of the answer. A request that is not acknowledged long after nearly all others of
 // its route would have been is a bad outcome: the server has lost it or hangs, although it may accept
-// connections. Outcomes are not counted while this balancer may be at fault itself.
+// connections. So is an answer that is far shorter than usual, which is an error. Outcomes are not counted while this balancer may be at fault itself.
 //
 // The load of a server is the work that it still has to do, in mean requests of its service: each
 // request in progress counts with the time that it is expected to take from now on. Slots of a slow
@@ -72,14 +72,16 @@
 type learning struct {
 	answers map[answerClass]*cost.Route
 	// services has the work of the requests of each service.
-	services   map[string]*cost.Route
+	services map[string]*cost.Route
+	// sizes has the sizes of each route's answers.
+	sizes      map[state.Endpoint]*cost.Size
 	nextFade   time.Time
 	nextDecide time.Time
 	servers    []eject.Server
 }
 
 func newLearning() learning {
-	return learning{answers: make(map[answerClass]*cost.Route), services: make(map[string]*cost.Route)}
+	return learning{answers: make(map[answerClass]*cost.Route), services: make(map[string]*cost.Route), sizes: make(map[state.Endpoint]*cost.Size)}
 }
 
 // find returns the element of a map, which it adds if necessary.
@@ -98,10 +100,19 @@
 		return
 	}
 	r.awaited = false
+	t := r.target
+	sizes := c.learning.sizes[r.key.Listen]
+	if sizes == nil {
+		sizes = &cost.Size{}
+		c.learning.sizes[r.key.Listen] = sizes
+	}
+	if sizes.Observe(acknowledgedBytes) {
+		t.learned.evidence.Bad++
+		return
+	}
 	answerTime := now.Sub(r.sentAt)
 	answers := find(c.learning.answers, answerClass{r.key.Listen, acknowledgedBytes <= smallAnswerBytes})
 	answers.Observe(answerTime)
-	t := r.target
 	t.learned.evidence.Good++
 	if answers.Count() < minObservations {
 		return
@@ -195,7 +206,7 @@
 		for _, index := range eject.Decide(c.learning.servers, now) {
 			evidence := c.learning.servers[index].Evidence
 			c.Counters.Ejected.Add(1)
-			c.config.Log.Info("tagged: backend server is ejected, as it does not answer", "Backend", targets[index].entry.Name, "Service", service,
+			c.config.Log.Info("tagged: backend server is ejected: too many of its requests fail", "Backend", targets[index].entry.Name, "Service", service,
 				"Good", math.Round(evidence.Good), "Bad", math.Round(evidence.Bad), "Span", targets[index].learned.ejection.Span().String())
 		}
 	}
--- a/internal/tagged/learn_test.go
+++ b/internal/tagged/learn_test.go
@@ -95,6 +95,39 @@
 	}
 }
 
+// A server that answers a part of its requests with errors, at once, must be ejected: it looks like the
+// fastest one.
+func TestServerThatAnswersWithErrorsIsEjected(t *testing.T) {
+	h := newLearningHarness(t, 8)
+	port := 0
+	h.play(&port, feed, 300, usualTime)
+	onServer, failed := 0, 0
+	for range 400 {
+		port++
+		f := h.openFlow(10_000+port, feed)
+		f.completeHandshake()
+		f.send(100)
+		h.now = h.now.Add(10 * time.Millisecond)
+		if f.lastVerdict.ID == 1 {
+			onServer++
+		}
+		if f.lastVerdict.ID == 1 && onServer%5 < 2 {
+			f.packet.Acknowledged -= 75 // acknowledge adds 100
+			failed++
+		}
+		f.acknowledge()
+		closing := f.packet
+		closing.Last = true
+		h.core.HandlePacket(&closing, h.now)
+		if port%5 == 0 {
+			h.core.Tick(h.now)
+		}
+	}
+	h.is.True(failed > 0)
+	h.is.True(h.core.Counters.Ejected.Load() > 0)
+	h.is.True(failed < 10) // half of what its share of the 400 requests would be
+}
+
 // The evidence of one balancer may be too little. With that of the others it is enough.
 func TestEvidenceOfOtherBalancersCounts(t *testing.T) {
 	h := newLearningHarness(t, 8)
