--- a/internal/tagged/learn.go
+++ b/internal/tagged/learn.go
@@ -70,6 +70,7 @@
 
 // learning is the state of what this balancer learns.
 type learning struct {
+	// answers has the times of answers, without those that are far shorter than usual.
 	answers map[answerClass]*cost.Route
 	// services has the work of the requests of each service.
 	services map[string]*cost.Route
@@ -81,7 +82,11 @@
 }
 
 func newLearning() learning {
-	return learning{answers: make(map[answerClass]*cost.Route), services: make(map[string]*cost.Route), sizes: make(map[state.Endpoint]*cost.Size)}
+	return learning{
+		answers:  make(map[answerClass]*cost.Route),
+		services: make(map[string]*cost.Route),
+		sizes:    make(map[state.Endpoint]*cost.Size),
+	}
 }
 
 // find returns the element of a map, which it adds if necessary.
@@ -156,6 +161,7 @@
 	if service == nil || answers == nil || service.Count() < minObservations || answers.Count() < minObservations {
 		return 1
 	}
+	// The floor is no work: callers acknowledge that much later than the server is done.
 	floor := answers.Floor()
 	remaining := answers.Remaining(age + floor)
 	if age == 0 {
