--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 # capacity prints the control traffic and processor time of a balancer for four fleet sizes.
 capacity:
 	go test ./internal/owned -run 'TestCapacity' -measure -v -timeout 30m | grep '^capacity:'
-	go test ./internal/owned ./internal/ring ./internal/config ./internal/probe ./internal/gossip ./internal/state ./internal/tagged -run '^$$' -bench 'Capacity' -benchtime 200ms
+	go test ./internal/owned ./internal/ring ./internal/config ./internal/probe ./internal/gossip ./internal/state ./internal/tagged ./internal/eject -run '^$$' -bench 'Capacity' -benchtime 200ms
 
 # bench runs the benchmarks of the packet path.
 bench:
--- a/internal/eject/eject_test.go
+++ b/internal/eject/eject_test.go
@@ -98,3 +98,17 @@
 	fmt.Println(eject.Decide(servers, time.Now()))
 	// Output: [1]
 }
+
+// BenchmarkCapacityDecide measures one decision on the services of 9,000 servers.
+func BenchmarkCapacityDecide(b *testing.B) {
+	var services [][]eject.Server
+	for range 9000 / 20 {
+		services = append(services, service(eject.Evidence{Good: 12, Bad: 8}))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, servers := range services {
+			eject.Decide(servers, start)
+		}
+	}
+}
--- a/internal/tagged/bench_test.go
+++ b/internal/tagged/bench_test.go
@@ -23,9 +23,9 @@
 
 // newCapacityCore returns a core with the given number of backend servers in 9
 // failure domains and 20 services, and with the flows of one of 1,300 balancers.
-func newCapacityCore(count int) (*tagged.Core, []state.Backend, *state.Configuration) {
+func newCapacityCore(count int, learn bool) (*tagged.Core, []state.Backend, *state.Configuration) {
 	const services, flowCount = 20, 7700
-	core := tagged.New(tagged.Config{Domain: "domain-0", MaxFlows: 100_000, Rand: rand.New(rand.NewPCG(1, 2)), Log: logr.Discard(), DecisionLog: logr.Discard()})
+	core := tagged.New(tagged.Config{Domain: "domain-0", MaxFlows: 100_000, LearnServers: learn, Rand: rand.New(rand.NewPCG(1, 2)), Log: logr.Discard(), DecisionLog: logr.Discard()})
 	var backends []state.Backend
 	for number := range count {
 		backends = append(backends, state.Backend{
@@ -69,7 +69,7 @@
 	for _, count := range serverCounts {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			before := liveHeapBytes()
-			core, _, _ := newCapacityCore(count)
+			core, _, _ := newCapacityCore(count, false)
 			held := liveHeapBytes() - before
 			b.ReportAllocs()
 			b.ResetTimer()
@@ -87,7 +87,7 @@
 func BenchmarkCapacityChange(b *testing.B) {
 	for _, count := range serverCounts {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
-			core, backends, routes := newCapacityCore(count)
+			core, backends, routes := newCapacityCore(count, false)
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
@@ -97,20 +97,22 @@
 	}
 }
 
-// BenchmarkCapacityFirst measures placing a flow and aborting it.
+// BenchmarkCapacityFirst measures placing a flow and aborting it, without and with learning.
 func BenchmarkCapacityFirst(b *testing.B) {
-	for _, count := range serverCounts {
-		b.Run(fmt.Sprint(count), func(b *testing.B) {
-			core, _, routes := newCapacityCore(count)
-			b.ReportAllocs()
-			b.ResetTimer()
-			for number := range b.N {
-				p := tagged.Packet{First: true, Key: tagged.Key{Caller: state.NewEndpoint(0x64400000+uint32(number>>15), uint16(1000+number&0x7fff)), Listen: routes.Routes[number%1300].Listen}}
-				core.HandlePacket(&p, start)
-				p.First, p.Abort = false, true
-				core.HandlePacket(&p, start)
-			}
-		})
+	for _, learn := range []bool{false, true} {
+		for _, count := range serverCounts {
+			b.Run(fmt.Sprintf("learn=%v/%d", learn, count), func(b *testing.B) {
+				core, _, routes := newCapacityCore(count, learn)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for number := range b.N {
+					p := tagged.Packet{First: true, Key: tagged.Key{Caller: state.NewEndpoint(0x64400000+uint32(number>>15), uint16(1000+number&0x7fff)), Listen: routes.Routes[number%1300].Listen}}
+					core.HandlePacket(&p, start)
+					p.First, p.Abort = false, true
+					core.HandlePacket(&p, start)
+				}
+			})
+		}
 	}
 }
 
