Soak: a server that hangs, and balancers that learn

The soak knew nothing of servers that accept flows and answer nothing. From seed 3000 on one hangs for 3 s, and balancers of even seeds learn.

--- a/wigeonlab/internal/soak/balancer.go
+++ b/wigeonlab/internal/soak/balancer.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"wigeonmoor.example/internal/setup"
 	"wigeonmoor.example/wigeonlab/internal/proxy"
 )
 
@@ -67,15 +68,24 @@
 	for _, seed := range seeds {
 		seedAddresses = append(seedAddresses, b.env.ip(peerProxyNet, seed).String())
 	}
-	text := fmt.Sprintf("[Instance]\nName = %s\nDomain = %s\nBinding = Tagged\n\n[Listen]\nTraffic = %s:%d\nPeer = %s:%d\nAdmin = %s:%d\nReady = %s:%d\n\n[Peers]\nSeeds = %s\nAdvertise = %s:%d\n\n[Platform]\nURL = http://%s:%d\n\n[Limits]\nMaxFlows = 100000\n\n[Leave]\nLinger = 4s\n",
+	text := fmt.Sprintf("[Instance]\nName = %s\nDomain = %s\nBinding = Tagged\n\n[Listen]\nTraffic = %s:%d\nPeer = %s:%d\nAdmin = %s:%d\nReady = %s:%d\n\n[Peers]\nSeeds = %s\nAdvertise = %s:%d\n\n[Platform]\nURL = http://%s:%d\n\n[Limits]\nMaxFlows = 100000\n\n[Balancing]\nLearn = %s\n\n[Leave]\nLinger = 4s\n",
 		b.name(), b.domain(), b.ip, trafficPort, b.ip, peerPort, b.ip, adminPort, b.ip, readyPort,
-		strings.Join(seedAddresses, ","), b.env.ip(peerProxyNet, b.number), peerPort, b.env.ip(storeProxyNet, b.number), storePort)
+		strings.Join(seedAddresses, ","), b.env.ip(peerProxyNet, b.number), peerPort, b.env.ip(storeProxyNet, b.number), storePort, learning(b.env.config.Seed))
 	if err := os.WriteFile(b.path("ini"), []byte(text), 0o644); err != nil {
 		return fmt.Errorf("soak: write settings of %s: %w", b.name(), err)
 	}
 	return nil
 }
 
+// learning returns whether the balancers of a run learn how servers serve: in every second run with
+// the steps of evacuationSteps.
+func learning(seed uint64) setup.Learning {
+	if seed >= firstEvacuationSeed && seed%2 == 0 {
+		return setup.LearnOn
+	}
+	return setup.LearnOff
+}
+
 // start starts the process unless it is already running.
 func (b *balancer) start() error {
 	b.mutex.Lock()
--- a/wigeonlab/internal/soak/plan.go
+++ b/wigeonlab/internal/soak/plan.go
@@ -41,6 +41,7 @@
 	RouteGrowth  Kind = "RouteGrowth"  // grownRouteCount routes are added at once
 	LinkRate     Kind = "LinkRate"     // limited rate of the link from the peers to one balancer
 	Evacuate     Kind = "Evacuate"     // a failure domain is evacuated, and later taken back
+	ServerHang   Kind = "ServerHang"   // a backend server accepts flows and answers no requests
 	ForeignEntry Kind = "ForeignEntry" // another writer overwrites the entry of a running backend server
 )
 
@@ -150,8 +151,8 @@
 // firstEvacuationSeed is the first seed whose plan includes the steps of evacuationSteps.
 const firstEvacuationSeed = 3000
 
-// evacuationSteps draws an evacuation that lasts longer than evacuationLimit, and entries of another
-// writer.
+// evacuationSteps draws an evacuation that lasts longer than evacuationLimit, entries of another
+// writer and, unless the plan has planned work only, a server that hangs.
 func evacuationSteps(seed uint64, faultWindow time.Duration) []Step {
 	if seed < firstEvacuationSeed {
 		return nil
@@ -161,6 +162,11 @@
 		Kind: Evacuate, At: time.Duration(random.Int64N(int64(faultWindow))), Selector: random.Uint32(),
 		Duration: evacuationLimit + time.Duration(1000+random.IntN(4000))*time.Millisecond,
 	}}
+	if !plannedOnly(seed) {
+		steps = append(steps, Step{
+			Kind: ServerHang, At: time.Duration(random.Int64N(int64(faultWindow))), Selector: random.Uint32(), Duration: 3 * time.Second,
+		})
+	}
 	for range 3 {
 		steps = append(steps, Step{
 			Kind: ForeignEntry, At: time.Duration(random.Int64N(int64(faultWindow))), Selector: random.Uint32(),
--- a/wigeonlab/internal/soak/steps.go
+++ b/wigeonlab/internal/soak/steps.go
@@ -67,7 +67,7 @@
 	record := StepRecord{From: time.Now(), Description: step.String(), Planned: step.Kind.Planned()}
 	var server *proxiedServer
 	switch step.Kind {
-	case ServerLink, ServerCrash, AddressReuse, ServerDrain, EntryLapse, ForeignEntry:
+	case ServerLink, ServerCrash, AddressReuse, ServerDrain, EntryLapse, ServerHang, ForeignEntry:
 		if server = e.pickServer(step.Selector); server == nil {
 			return nil
 		}
@@ -116,6 +116,10 @@
 		e.store.Remove(server.StoreKey())
 		pause(ctx, step.Duration)
 		e.publishServer(server, "ready")
+	case ServerHang:
+		server.SetHanging(true)
+		pause(ctx, step.Duration)
+		server.SetHanging(false)
 	case ForeignEntry:
 		e.store.Put(server.StoreKey(), e.foreignEntry(server, step.Selector))
 		pause(ctx, step.Duration) // until the server's next heartbeat
