--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -226,6 +226,7 @@
 }
 
 func setContracts(settings *Settings, value string) error {
+	settings.Contracts = nil
 	for _, word := range strings.Split(value, ",") {
 		settings.Contracts = append(settings.Contracts, strings.TrimSpace(word))
 	}
@@ -242,6 +243,7 @@
 }
 
 func setSeeds(settings *Settings, value string) error {
+	settings.Seeds = nil
 	for _, item := range strings.Split(value, ",") {
 		item, _, _ = strings.Cut(strings.TrimSpace(item), ":")
 		seed, err := netip.ParseAddr(item)
@@ -314,6 +316,26 @@
 	return settings, nil
 }
 
+// Override changes one setting by an assignment "Section.Key=value", as from the command line. An empty
+// value changes nothing. The error is of type config.Problems.
+func (s *Settings) Override(assignment string) error {
+	name, value, found := strings.Cut(assignment, "=")
+	var names []string
+	for _, key := range Keys() {
+		if names = append(names, key.Section+"."+key.Name); key.Section+"."+key.Name != name || !found {
+			continue
+		}
+		if value == "" {
+			return nil
+		}
+		if err := key.set(s, value); err != nil {
+			return config.Problems{{File: "-set", Path: name, Reason: fmt.Sprintf("%q: %v", value, err)}}
+		}
+		return nil
+	}
+	return config.Problems{{File: "-set", Path: name, Reason: "is not a valid key with a value", Fix: "the closest valid key is " + nearestName(name, names)}}
+}
+
 // apply stores the key's value in the file, or its default, in settings.
 func (k Key) apply(path string, data []byte, file *ini.File, settings *Settings) config.Problems {
 	name := k.Section + "." + k.Name
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -90,3 +90,25 @@
 		}
 	}
 }
+
+// The platform fills in the command line. A value that a deployment does not have is empty there.
+func TestOverride(t *testing.T) {
+	settings := setup.Settings{ColdOverage: 1, Contracts: []string{"earlier"}}
+	for _, assignment := range []string{"Limits.ColdOverage=1.5", "Limits.ColdOverage=", "Platform.Contracts=base,health"} {
+		if err := settings.Override(assignment); err != nil {
+			t.Errorf("%s: %v", assignment, err)
+		}
+	}
+	if settings.ColdOverage != 1.5 || strings.Join(settings.Contracts, " ") != "base health" {
+		t.Errorf("got %v and %v", settings.ColdOverage, settings.Contracts)
+	}
+	for assignment, want := range map[string]string{
+		"Limits.ColdOverage=much": "must be a number",
+		"Limits.ColdOverag=2":     "the closest valid key is Limits.ColdOverage",
+		"Limits.ColdOverage":      "is not a valid key with a value",
+	} {
+		if err := settings.Override(assignment); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %v, want %q", assignment, err, want)
+		}
+	}
+}
--- a/wigeond/main.go
+++ b/wigeond/main.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -43,13 +44,28 @@
 // runCommand runs a balancer until it receives a signal to terminate.
 type runCommand struct {
 	settingsPath string
+	// overrides are assignments of settings that take precedence over the file.
+	overrides []string
 }
 
 func (*runCommand) Name() string     { return "run" }
 func (*runCommand) Synopsis() string { return "run until SIGTERM, then shut down gracefully" }
-func (*runCommand) Usage() string    { return "run [-settings FILE]\n" }
+func (*runCommand) Usage() string    { return "run [-settings FILE] [-set Section.Key=VALUE ...]\n" }
 func (r *runCommand) SetFlags(flags *flag.FlagSet) {
 	flags.StringVar(&r.settingsPath, "settings", defaultSettingsPath(), "settings file")
+	flags.Func("set", "override a setting of the file, as Section.Key=VALUE; nothing is changed if VALUE is empty", func(assignment string) error {
+		r.overrides = append(r.overrides, assignment)
+		return nil
+	})
+}
+
+// load reads the settings file and applies the overrides.
+func (r *runCommand) load() (setup.Settings, error) {
+	settings, err := setup.Load(r.settingsPath)
+	for _, assignment := range r.overrides {
+		err = errors.Join(err, settings.Override(assignment))
+	}
+	return settings, err
 }
 
 // defaultSettingsPath returns the settings file named by the platform's environment variable,
@@ -62,7 +78,7 @@
 }
 
 func (r *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	settings, err := setup.Load(r.settingsPath)
+	settings, err := r.load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalidSettings
@@ -99,7 +115,7 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	return entry.Run(ctx, entry.Config{
 		Settings:  settings,
-		Reload:    func() (setup.Settings, error) { return setup.Load(r.settingsPath) },
+		Reload:    r.load,
 		Log:       log,
 		Codec:     platform.PacketCodec{},
 		Store:     platform.NewStore(settings.PlatformURL),
