--- a/wigeonlab/internal/soak/soak_test.go
+++ b/wigeonlab/internal/soak/soak_test.go
@@ -190,10 +190,11 @@
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	const defaultFaultWindow = 15 * time.Second
-	const faultSeed, plannedOnlySeed, restoreSeed = 1000, 2, 2005
+	const faultSeed, plannedOnlySeed, restoreSeed, evacuationSeed = 1000, 2, 2005, 5000
 	runSeed(t, program, 240, faultSeed, defaultFaultWindow/2)
 	runSeed(t, program, 241, plannedOnlySeed, defaultFaultWindow/2)
 	runSeed(t, program, 239, restoreSeed, defaultFaultWindow)
+	runSeed(t, program, 238, evacuationSeed, defaultFaultWindow)
 	for index, seed := range readRegressionSeeds(t) {
 		runSeed(t, program, 242+index%10, seed, defaultFaultWindow)
 	}
