--- a/internal/emul/emul.go
+++ b/internal/emul/emul.go
@@ -254,7 +254,8 @@
 	domain := domainName(index)
 	at, was := d.evacuatedAt[domain]
 	becomeCold = becomeCold && was && time.Since(at) > evacuationLimit
-	if delete(d.evacuatedAt, domain); evacuated {
+	delete(d.evacuatedAt, domain)
+	if evacuated {
 		d.evacuatedAt[domain] = time.Now()
 	}
 	for _, s := range d.Servers {
--- a/internal/tagged/core.go
+++ b/internal/tagged/core.go
@@ -157,7 +157,7 @@
 	// Vouched counts servers that this balancer considered dead while a peer reached
 	// them.
 	Vouched Counter
-	// Ejected counts ejections of servers that do not answer requests.
+	// Ejected counts ejections of servers of which too many requests fail.
 	Ejected Counter
 }
 
@@ -353,6 +353,7 @@
 		return Verdict{Action: Drop}
 	}
 	if r != nil && t.dead() && c.canReset(r, t) {
+		// The packet may be a new request, which would count as in progress after observePacket.
 		return c.resetOnPacket(p, r, t)
 	}
 	if r == nil && !p.Abort {
--- a/internal/tagged/dead.go
+++ b/internal/tagged/dead.go
@@ -19,9 +19,9 @@
 // Flows of servers that are suspected or unreachable, but not dead, are never reset.
 //
 // Whether a request is in progress is seen from the caller's packets only. An answer that fits one
-// packet is acknowledged with the next request, so a missing acknowledgment says nothing. A
-// request counts as answered if it was sent long enough before the last sign of life of the server
-// or of its failure domain. Keeping all flows of routes that are not idempotent was rejected: their
+// packet is acknowledged later, and the flow may have moved to another balancer meanwhile, so a
+// missing acknowledgment says little. A request counts as answered if it was sent long enough before
+// the last sign of life of the server or of its failure domain. Keeping all flows of routes that are not idempotent was rejected: their
 // callers send the next request into the dead flow and wait for it until their deadline.
 
 import "time"
--- a/wigeonlab/internal/soak/soak_test.go
+++ b/wigeonlab/internal/soak/soak_test.go
@@ -182,8 +182,8 @@
 	return seeds
 }
 
-// TestSoak performs two short runs, one of them with planned work only, and a full run of each
-// seed that has failed before.
+// TestSoak performs two short runs, one of them with planned work only, a run with restores of the
+// store, one with an evacuation, and a full run of each seed that has failed before.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "wigeond")
 	if out, err := exec.Command("go", "build", "-o", program, "wigeonmoor.example/wigeond").CombinedOutput(); err != nil {
