--- a/wigeonctl/lint.go
+++ b/wigeonctl/lint.go
@@ -10,8 +10,8 @@
 	"github.com/google/subcommands"
 
 	"wigeonmoor.example/internal/state"
+	"wigeonmoor.example/platform/lint"
 	"wigeonmoor.example/wigeonctl/internal/fleet"
-	"wigeonmoor.example/wigeonctl/internal/lint"
 )
 
 // lintFlags holds the flags of check-configuration.
--- a/wigeonlab/internal/soak/steps.go
+++ b/wigeonlab/internal/soak/steps.go
@@ -7,11 +7,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"wigeonmoor.example/platform/stand"
 	"wigeonmoor.example/wigeonlab/internal/proxy"
 )
 
@@ -121,27 +121,13 @@
 		pause(ctx, step.Duration)
 		server.SetHanging(false)
 	case ForeignEntry:
-		e.store.Put(server.StoreKey(), e.foreignEntry(server, step.Selector))
+		e.store.Put(server.StoreKey(), server.ForeignEntry(server.service, serviceNames[(server.number+1)%len(serviceNames)], server.domain, step.Selector))
 		pause(ctx, step.Duration) // until the server's next heartbeat
 		e.publishServer(server, "ready")
 	}
 	return nil
 }
 
-// foreignEntry returns an entry that is not complete, of a running server. If it were used, it would
-// send flows to the wrong service, reset open flows, or end the server's use for good.
-func (e *environment) foreignEntry(s *proxiedServer, selector uint32) string {
-	other := serviceNames[(s.number+1)%len(serviceNames)]
-	entries := []string{
-		fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"capacity":2,"state":"ready"}`, other, s.publishedAddress, s.domain),
-		fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"capacity":2,"state":"ready","born":%d}`, s.service, s.publishedAddress, s.domain, time.Now().UnixMilli()),
-		strings.Replace(s.Entry(s.service, s.domain, "draining"), `"sequence":1`, `"sequence":"1"`, 1),
-		strings.Replace(s.Entry("unknown", s.domain, "ready"), `"born":`, `"born":9`, 1),
-		"\x00\xff",
-	}
-	return entries[int(selector)%len(entries)]
-}
-
 // injectFault sets a fault and removes it after the duration.
 func injectFault(ctx context.Context, duration time.Duration, fault proxy.Fault, set func(proxy.Fault)) {
 	set(fault)
@@ -251,7 +237,7 @@
 	if !e.beginEvacuation(domain) {
 		return
 	}
-	key := "op/evacuate/" + domain
+	key := stand.EvacuationKey(domain)
 	e.store.Put(key, "{}")
 	var index int
 	e.record(func(h *History) {
