Review: late copies of first packets reach a draining target or a route's old service

The second copy of a first packet is forwarded to the target that the first copy was moved to, without a look at the table.

--- a/review/lab-2/client.go
+++ b/review/lab-2/client.go
@@ -85,9 +85,10 @@
 // result is how an attempt ended.
 type result struct {
 	outcome outcome
-	// service is the service that ran the request, if it was served, and openedAt when the client
-	// sent the first packet that the target took.
+	// service and target have run the request, if it was served, and openedAt is when the client sent
+	// the first packet that the target took.
 	service  string
+	target   string
 	openedAt time.Time
 	// acceptedAt is when the client got the answer to it.
 	acceptedAt time.Time
@@ -168,14 +169,14 @@
 func readAnswer(id string, answer []byte, sentAt []time.Time) result {
 	_, body, _ := bytes.Cut(answer, []byte("\r\n\r\n"))
 	words := strings.Fields(string(body))
-	if !bytes.HasPrefix(answer, []byte("HTTP/1.1 200 ")) || len(words) != 3 || words[2] != id {
+	if !bytes.HasPrefix(answer, []byte("HTTP/1.1 200 ")) || len(words) != 4 || words[3] != id {
 		return result{outcome: answeredWrongly}
 	}
-	number, err := strconv.Atoi(words[1])
+	number, err := strconv.Atoi(words[2])
 	if err != nil || number < 0 || number >= len(sentAt) {
 		return result{outcome: answeredWrongly}
 	}
-	return result{outcome: served, service: words[0], openedAt: sentAt[number]}
+	return result{outcome: served, service: words[0], target: words[1], openedAt: sentAt[number]}
 }
 
 // resetOutcome tells a balancer's reset, which has no checksum, from a target's.
--- a/review/lab-2/fleet.go
+++ b/review/lab-2/fleet.go
@@ -29,7 +29,7 @@
 type plan struct{ block int }
 
 // address returns an address of the plan. Groups are 1 for machines, 2 for clients, 3 for targets
-// and 4 for the store.
+// and 4 for the store, which each machine reaches at an address of its own.
 func (p plan) address(group, number, port int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(p.block), byte(group), byte(number)}), uint16(port))
 }
@@ -38,8 +38,9 @@
 func freePlan(machines, targets int) (plan, error) {
 	for block := 70; block < 120; block++ {
 		p := plan{block}
-		addresses := []netip.AddrPort{p.address(4, 1, storePort)}
+		var addresses []netip.AddrPort
 		for number := range machines {
+			addresses = append(addresses, p.address(4, number+1, storePort))
 			for _, port := range []int{readinessPort, metricsPort, internalPort, trafficPort} {
 				addresses = append(addresses, p.address(1, number+1, port))
 			}
@@ -122,7 +123,7 @@
 			"node_name": m.name, "zone": zone, "ip": m.ip.String(),
 			"bind_addresses.datagram_address": m.traffic.String(), "bind_addresses.readiness": m.ready.String(),
 			"internal_port_range.0": fmt.Sprint(internalPort), "seed_nodes": strings.Join(seeds, ","),
-			"platform.address": p.address(4, 1, storePort).String(), "limits.link_mbps": "1000.0",
+			"platform.address": p.address(4, number+1, storePort).String(), "limits.link_mbps": "1000.0",
 			"contracts": "base,drain,config,cost,recover,flows,platform",
 		}
 		// All sections of the template have a value here, so only their marks are removed.
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -43,6 +43,7 @@
 var cases = map[string]func(options) (string, error){
 	"new-service": playNewService,
 	"moved-route": playMovedRoute,
+	"late-copy":   playLateCopy,
 }
 
 func main() {
--- a/review/lab-2/route.go
+++ b/review/lab-2/route.go
@@ -57,7 +57,7 @@
 // requests. Without trouble, the route stays where it is.
 func playMovedRoute(o options) (string, error) {
 	services := []string{"planning", "standby"}
-	d, err := startDeployment(o, configurationOf(3, services, services[:1]))
+	d, err := startDeployment(o, configurationOf(3, services, services[:1]), fourZones)
 	if d != nil {
 		defer d.stop()
 	}
--- a/review/lab-2/service.go
+++ b/review/lab-2/service.go
@@ -63,30 +63,33 @@
 	store   *store
 	fleet   *fleet
 	client  *client
+	zones   []string
 	targets []*target
 }
 
-// zonesByMachine are the zones of the machines.
-var zonesByMachine = []string{"east", "west", "east", "west"}
+// fourZones are the zones of the machines of a deployment of four.
+var fourZones = []string{"east", "west", "east", "west"}
 
-const maxTargets = 8
+const maxTargets = 40
 
-// startDeployment starts the store, the client and the balancers. The store has the configuration
-// already.
-func startDeployment(o options, config string) (*deployment, error) {
-	p, err := freePlan(len(zonesByMachine), maxTargets)
+// startDeployment starts the store, the client and a balancer in each of the zones. The store has the
+// configuration already.
+func startDeployment(o options, config string, zones []string) (*deployment, error) {
+	p, err := freePlan(len(zones), maxTargets)
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{options: o, plan: p, store: newStore()}
-	server := &http.Server{Addr: p.address(4, 1, storePort).String(), Handler: d.store}
-	go func() { _ = server.ListenAndServe() }()
+	d := &deployment{options: o, plan: p, store: newStore(), zones: zones}
+	for number := range zones {
+		server := &http.Server{Addr: p.address(4, number+1, storePort).String(), Handler: d.store.handler(number)}
+		go func() { _ = server.ListenAndServe() }()
+	}
 	d.store.put("op/config", config)
 	o.record.line("the operator has written op/config: %s", config)
 	if d.client, err = startClient(p.address(2, 1, trafficPort), o.record); err != nil {
 		return nil, err
 	}
-	d.fleet, err = startFleet(p, o.root, o.directory, zonesByMachine, o.record)
+	d.fleet, err = startFleet(p, o.root, o.directory, zones, o.record)
 	return d, err
 }
 
@@ -99,23 +102,31 @@
 	}
 }
 
-// addTargets starts targets of a service, one after the other in the two zones.
+// addTargets starts targets of a service, one after the other in the zones.
 func (d *deployment) addTargets(service string, count int) error {
 	for range count {
-		number := len(d.targets) + 1
-		t := &target{
-			id: fmt.Sprintf("i-7f3a91%02x", number), number: 0x7f3a9100 + uint64(number), service: service,
-			zone: zonesByMachine[number%2], address: d.plan.address(3, number, targetPort), callerPort: trafficPort,
-			store: d.store, record: d.record, work: requestWork,
-		}
-		if err := startTarget(t); err != nil {
+		if err := d.startTarget(service, d.plan.address(3, len(d.targets)+1, targetPort)); err != nil {
 			return err
 		}
-		d.targets = append(d.targets, t)
 	}
 	return nil
 }
 
+// startTarget starts a target of a service at an address.
+func (d *deployment) startTarget(service string, address netip.AddrPort) error {
+	number := len(d.targets) + 1
+	t := &target{
+		id: fmt.Sprintf("i-7f3a91%02x", number), number: 0x7f3a9100 + uint64(number), service: service,
+		zone: d.zones[number%len(d.zones)], address: address, callerPort: trafficPort,
+		store: d.store, record: d.record, work: requestWork,
+	}
+	if err := startTarget(t); err != nil {
+		return err
+	}
+	d.targets = append(d.targets, t)
+	return nil
+}
+
 // requestAll sends requests to a route through each machine in turn, and returns the number of those
 // that were not served, by outcome.
 func (d *deployment) requestAll(label string, route, rounds int, pause time.Duration) map[outcome]int {
@@ -140,7 +151,7 @@
 	if !o.trouble {
 		config = configuration(3, "planning", "reports")
 	}
-	d, err := startDeployment(o, config)
+	d, err := startDeployment(o, config, fourZones)
 	if d != nil {
 		defer d.stop()
 	}
--- a/review/lab-2/store.go
+++ b/review/lab-2/store.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"regexp"
 	"slices"
@@ -30,6 +32,8 @@
 	events   []item
 	// changed is closed and replaced with each change.
 	changed chan struct{}
+	// silent holds the machines that get no response, watching those whose watch waits for a change.
+	silent, watching map[int]bool
 }
 
 const (
@@ -40,7 +44,52 @@
 )
 
 func newStore() *store {
-	return &store{revision: 1, items: make(map[string]item), changed: make(chan struct{})}
+	return &store{
+		revision: 1, items: make(map[string]item), changed: make(chan struct{}),
+		silent: make(map[int]bool), watching: make(map[int]bool),
+	}
+}
+
+// setSilent sets the machines that get no response from now on.
+func (s *store) setSilent(machines []int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silent = make(map[int]bool)
+	for _, machine := range machines {
+		s.silent[machine] = true
+	}
+}
+
+func (s *store) isSilent(machine int) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.silent[machine]
+}
+
+// readers returns the machines whose watch waits for a change.
+func (s *store) readers() []int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Sorted(maps.Keys(s.watching))
+}
+
+func (s *store) setWatching(machine int, watching bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if watching {
+		s.watching[machine] = true
+	} else {
+		delete(s.watching, machine)
+	}
+}
+
+// remove removes a key.
+func (s *store) remove(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	delete(s.items, key)
+	s.announce(item{Key: key, Revision: s.revision, Tombstone: true})
 }
 
 var sequenceField = regexp.MustCompile(`"sequence":\d+`)
@@ -101,48 +150,64 @@
 	return events, s.revision, s.changed
 }
 
-// ServeHTTP answers the reading calls.
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(answerTime)
-	query := r.URL.Query()
-	prefix := query.Get("prefix")
-	switch r.URL.Path {
-	case "/api/kv-range":
-		items, hasMore, revision := s.page(prefix, query.Get("after"))
-		respond(w, map[string]any{"items": list(items), "has_more": hasMore, "store_revision": revision})
-	case "/api/kv-watch":
-		after, errAfter := strconv.ParseUint(query.Get("after"), 10, 64)
-		wait, errWait := strconv.Atoi(query.Get("wait_ms"))
-		if errAfter != nil || errWait != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		end := time.After(time.Duration(wait) * time.Millisecond)
-		for {
-			events, revision, changed := s.since(prefix, after)
-			if len(events) > 0 {
-				respond(w, map[string]any{"events": list(events), "store_revision": revision})
-				return
-			}
-			select {
-			case <-changed:
-			case <-end:
-				respond(w, map[string]any{"events": list(events), "store_revision": revision})
-				return
-			case <-r.Context().Done():
+// handler answers the reading calls of one machine.
+func (s *store) handler(machine int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(answerTime)
+		query := r.URL.Query()
+		prefix := query.Get("prefix")
+		var body map[string]any
+		switch r.URL.Path {
+		case "/api/kv-range":
+			items, hasMore, revision := s.page(prefix, query.Get("after"))
+			body = map[string]any{"items": list(items), "has_more": hasMore, "store_revision": revision}
+		case "/api/kv-watch":
+			after, errAfter := strconv.ParseUint(query.Get("after"), 10, 64)
+			wait, errWait := strconv.Atoi(query.Get("wait_ms"))
+			if errAfter != nil || errWait != nil {
+				w.WriteHeader(http.StatusBadRequest)
 				return
 			}
+			events, revision := s.watch(r.Context(), machine, prefix, after, time.Duration(wait)*time.Millisecond)
+			body = map[string]any{"events": list(events), "store_revision": revision}
+		default:
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		if s.isSilent(machine) {
+			<-r.Context().Done()
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// A client that has gone reads no answer.
+		_ = json.NewEncoder(w).Encode(body)
+	})
+}
+
+// minWatch is the time from which a watch counts as waiting, which a poll does not.
+const minWatch = time.Second
+
+// watch returns the events after a revision, as soon as there are any or the time is over.
+func (s *store) watch(ctx context.Context, machine int, prefix string, after uint64, wait time.Duration) (events []item, revision uint64) {
+	if wait >= minWatch {
+		s.setWatching(machine, true)
+		defer s.setWatching(machine, false)
+	}
+	end := time.After(wait)
+	for {
+		events, revision, changed := s.since(prefix, after)
+		if len(events) > 0 {
+			return events, revision
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return events, revision
+		case <-ctx.Done():
+			return events, revision
 		}
-	default:
-		w.WriteHeader(http.StatusNotFound)
 	}
 }
 
 // list returns the items, with an empty list in place of nil.
 func list(items []item) []item { return append([]item{}, items...) }
-
-func respond(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	// A client that has gone reads no answer.
-	_ = json.NewEncoder(w).Encode(body)
-}
--- a/review/lab-2/target.go
+++ b/review/lab-2/target.go
@@ -36,6 +36,8 @@
 	work time.Duration
 
 	sequence atomic.Int64
+	// draining is set when the target leaves. It still accepts flows then.
+	draining atomic.Bool
 	conn     *net.UDPConn
 	listener net.Listener
 	// mutex guards the flows and the requests in progress.
@@ -93,9 +95,7 @@
 // beat registers the target and repeats that with each heartbeat.
 func (t *target) beat() {
 	for {
-		t.store.put("servers/"+t.id, fmt.Sprintf(
-			`{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":%d,"state":"ready","cold_remaining_ms":%d,"sequence":%d,"born":%d}`,
-			t.service, t.address, t.zone, targetCapacity, t.coldRemaining().Milliseconds(), t.sequence.Add(1), t.born))
+		t.publish()
 		if t.sequence.Load() == 1 {
 			t.record.line("target %s of service %s has registered", t.id, t.service)
 		}
@@ -107,6 +107,20 @@
 	}
 }
 
+// publish writes the target's entry.
+func (t *target) publish() {
+	t.store.put("servers/"+t.id, fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":%d,"state":%q,"cold_remaining_ms":%d,"sequence":%d,"born":%d}`,
+		t.service, t.address, t.zone, targetCapacity, t.state(), t.coldRemaining().Milliseconds(), t.sequence.Add(1), t.born))
+}
+
+func (t *target) state() string {
+	if t.draining.Load() {
+		return "draining"
+	}
+	return "ready"
+}
+
 // coldRemaining returns how much longer the target is slow after its start, for its entry.
 func (t *target) coldRemaining() time.Duration {
 	return max(coldTime-time.Since(time.UnixMilli(t.born)), 0)
@@ -209,11 +223,11 @@
 	})
 }
 
-// answer sends the answer to a request. Its body names the service and the first packet that the
-// target took.
+// answer sends the answer to a request. Its body names the service, the target and the first packet
+// that the target took.
 func (t *target) answer(flow *targetFlow, reply header, id string) {
 	t.record.line("target %s of service %s has run request %s, whose flow it took with first packet %d", t.id, t.service, id, flow.copy)
-	body := fmt.Sprintf("%s %d %s", t.service, flow.copy, id)
+	body := fmt.Sprintf("%s %s %d %s", t.service, t.id, flow.copy, id)
 	flow.answer = fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nX-Wigeonmoor-Response-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 	reply.flags, reply.sequence, reply.ack = flagACK, flow.sequence, flow.expected
 	flow.sequence += uint32(len(flow.answer))
