--- a/review/lab-2/drain.go
+++ b/review/lab-2/drain.go
@@ -14,27 +14,28 @@
 	// number, a third of all.
 	silenceSpan    = 3600 * time.Millisecond
 	silentMachines = 2
-	// drains is how often a target drains. Each comes with a silence of the store, and with the loss of
-	// lostTargets of all targets.
-	drains      = 8
-	allTargets  = 8
-	lostTargets = 2
-	// lossDelay is the time from the report of the draining target to the loss of the others.
+	// drains is how often leavingTargets of all targets drain. Each time comes with a silence of the
+	// store, and with the loss of lostTargets.
+	drains         = 8
+	allTargets     = 13
+	leavingTargets = 2
+	lostTargets    = 3
+	// lossDelay is the time from the reports of the draining targets to the loss of the others.
 	lossDelay = time.Second
 	// entryTime is the time after which the store removes the entry of a silent target. It exceeds
 	// reuse_after_s, after which the address may go to another target.
 	entryTime = 3 * heartbeatInterval
 	// heavyRate is 0.9 of what all targets can process, in requests per second.
-	heavyRate = 360.0
+	heavyRate = 585.0
 )
 
 // sixZones are the zones of the machines of a deployment of six.
 var sixZones = []string{"east", "west", "north", "east", "west", "north"}
 
-// drain is the draining of a target.
+// drain is the draining of some targets.
 type drain struct {
-	target string
-	// acknowledged is when the store had accepted the report.
+	targets []string
+	// acknowledged is when the store had accepted the last report.
 	acknowledged time.Time
 	// silent holds the machines that the store gave no response.
 	silent []int
@@ -80,22 +81,22 @@
 		if failed != nil {
 			return "", failed
 		}
-		serving = serving[lostTargets+1:]
-		if err := d.addTargets("planning", lostTargets+1); err != nil {
+		serving = serving[leavingTargets+lostTargets:]
+		if err := d.addTargets("planning", leavingTargets+lostTargets); err != nil {
 			return "", err
 		}
-		serving = append(serving, d.targets[len(d.targets)-lostTargets-1:]...)
+		serving = append(serving, d.targets[len(d.targets)-leavingTargets-lostTargets:]...)
 		d.load(fmt.Sprintf("rest-%d", number), heavyRate, 6*time.Second, &wait, add)
 	}
 	wait.Wait()
 	return judgeDrains(d, attempts, drained), nil
 }
 
-// loseTargets lets the first of the targets drain and the next ones crash. The addresses of those go to
+// loseTargets lets the first targets drain and the next ones crash. The addresses of those go to
 // targets of another service.
 func (d *deployment) loseTargets(number int, serving []*target) (drain, error) {
-	leaving, lost := serving[0], serving[1:1+lostTargets]
-	next, err := d.drainTarget(leaving, configuration(10+number, "planning", "journal"))
+	leaving, lost := serving[:leavingTargets], serving[leavingTargets:leavingTargets+lostTargets]
+	next, err := d.drainTargets(leaving, configuration(10+number, "planning", "journal"))
 	if err != nil {
 		return drain{}, err
 	}
@@ -113,14 +114,16 @@
 	}
 	time.Sleep(silenceSpan - lossDelay - entryTime)
 	d.store.setSilent(nil)
-	d.store.remove("servers/" + leaving.id)
-	leaving.stop()
+	for _, t := range leaving {
+		d.store.remove("servers/" + t.id)
+		t.stop()
+	}
 	return next, nil
 }
 
-// drainTarget makes a target report that it is draining, just after the store has become silent for
+// drainTargets makes targets report that they are draining, just after the store has become silent for
 // its readers. The readers have learned of another change a moment before.
-func (d *deployment) drainTarget(leaving *target, config string) (drain, error) {
+func (d *deployment) drainTargets(leaving []*target, config string) (drain, error) {
 	var readers []int
 	for end := time.Now().Add(5 * time.Second); len(readers) != silentMachines; readers = d.store.readers() {
 		if time.Now().After(end) {
@@ -139,10 +142,15 @@
 	} else {
 		readers = nil
 	}
-	leaving.draining.Store(true)
-	leaving.publish()
-	d.record.line("target %s reports that it is draining", leaving.id)
-	return drain{leaving.id, time.Now(), readers}, nil
+	next := drain{silent: readers}
+	for _, t := range leaving {
+		t.draining.Store(true)
+		t.publish()
+		d.record.line("target %s reports that it is draining", t.id)
+		next.targets = append(next.targets, t.id)
+	}
+	next.acknowledged = time.Now()
+	return next, nil
 }
 
 // judgeDrains returns what broke the rule: requests whose opening packet was sent to a draining target
@@ -158,17 +166,17 @@
 		last := time.Duration(0)
 		for _, a := range attempts {
 			late := a.result.openedAt.Sub(next.acknowledged)
-			if a.result.outcome != served || a.result.target != next.target || slices.Contains(next.silent, slices.Index(d.fleet.machines, a.machine)) {
+			if a.result.outcome != served || !slices.Contains(next.targets, a.result.target) || slices.Contains(next.silent, slices.Index(d.fleet.machines, a.machine)) {
 				continue
 			}
 			last = max(last, late)
 			if late > drainBound {
 				broken++
 				worst = max(worst, late)
-				d.record.line("request %s through %s reached target %s %s after it had reported draining", a.id, a.machine.name, next.target, late.Round(time.Millisecond))
+				d.record.line("request %s through %s reached target %s %s after it had reported draining", a.id, a.machine.name, a.result.target, late.Round(time.Millisecond))
 			}
 		}
-		d.record.line("the last request through a machine in touch reached target %s %s after its report", next.target, last.Round(time.Millisecond))
+		d.record.line("the last request through a machine in touch reached targets %v %s after their reports", next.targets, last.Round(time.Millisecond))
 	}
 	if broken == 0 {
 		return ""
--- a/review/lab-2/service.go
+++ b/review/lab-2/service.go
@@ -70,7 +70,7 @@
 // fourZones are the zones of the machines of a deployment of four.
 var fourZones = []string{"east", "west", "east", "west"}
 
-const maxTargets = 40
+const maxTargets = 90
 
 // startDeployment starts the store, the client and a balancer in each of the zones. The store has the
 // configuration already.
