--- a/review/lab-2/fleet.go
+++ b/review/lab-2/fleet.go
@@ -26,10 +26,15 @@
 )
 
 // plan holds the addresses of a deployment, all in one block of the loopback range.
-type plan struct{ block int }
+type plan struct {
+	block int
+	// guard is open for as long as the plan is used, so that a case that starts meanwhile takes
+	// another block.
+	guard net.Listener
+}
 
-// address returns an address of the plan. Groups are 1 for machines, 2 for clients, 3 for targets
-// and 4 for the store, which each machine reaches at an address of its own.
+// address returns an address of the plan. Groups are 1 for machines, 2 for clients, 3 for targets,
+// 4 for the store, which each machine reaches at an address of its own, and 5 for the guard.
 func (p plan) address(group, number, port int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(p.block), byte(group), byte(number)}), uint16(port))
 }
@@ -37,8 +42,12 @@
 // freePlan returns a plan whose addresses are free.
 func freePlan(machines, targets int) (plan, error) {
 	for block := 70; block < 120; block++ {
-		p := plan{block}
-		var addresses []netip.AddrPort
+		p := plan{block: block}
+		var err error
+		if p.guard, err = net.Listen("tcp4", p.address(5, 1, storePort).String()); err != nil {
+			continue
+		}
+		addresses := []netip.AddrPort{p.address(2, 1, trafficPort)}
 		for number := range machines {
 			addresses = append(addresses, p.address(4, number+1, storePort))
 			for _, port := range []int{readinessPort, metricsPort, internalPort, trafficPort} {
@@ -51,6 +60,7 @@
 		if allFree(addresses) {
 			return p, nil
 		}
+		_ = p.guard.Close()
 	}
 	return plan{}, fmt.Errorf("no free addresses")
 }
